--- /dev/null
+++ b/Libraries/Http/Client.cpp
@@ -0,0 +1,180 @@
+#include <Http/Client.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <optional>
+#include <vector>
+
+namespace Chervilpin::Http {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Core::ErrorCode;
+using Core::failure;
+
+namespace {
+/// Idle connections that are kept for later calls.
+constexpr std::size_t maximumIdleConnections = 16;
+/// The largest response body; the platform's values are up to a megabyte and lists are longer.
+constexpr std::size_t maximumResponseBytes = std::size_t{64} * 1024 * 1024;
+} // namespace
+
+struct Client::State
+{
+    State(boost::asio::io_context &asioContext, boost::asio::ip::tcp::endpoint serverEndpoint)
+        : context(asioContext)
+        , endpoint(std::move(serverEndpoint))
+    { }
+
+    boost::asio::io_context &context;
+    boost::asio::ip::tcp::endpoint endpoint;
+    std::vector<std::unique_ptr<beast::tcp_stream>> idle;
+};
+
+namespace {
+
+/// One request on one connection.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    using Release = std::function<void(std::unique_ptr<beast::tcp_stream>)>;
+
+    Exchange(std::unique_ptr<beast::tcp_stream> stream, Request request, Core::Duration timeout,
+             Client::Completion completion, Release release)
+        : stream_(std::move(stream))
+        , timeout_(timeout)
+        , completion_(std::move(completion))
+        , release_(std::move(release))
+    {
+        message_.method_string(request.method);
+        message_.target(request.target);
+        message_.version(11);
+        for (const auto &field : request.fields)
+            message_.set(field.name, field.value);
+        message_.body() = std::move(request.body);
+        message_.keep_alive(true);
+    }
+
+    void start(const boost::asio::ip::tcp::endpoint &endpoint)
+    {
+        message_.set(http::field::host, endpoint.address().to_string());
+        message_.prepare_payload();
+        stream_->expires_after(std::chrono::milliseconds(timeout_.milliseconds()));
+        if (stream_->socket().is_open()) {
+            write();
+            return;
+        }
+        stream_->async_connect(endpoint, [self = shared_from_this()](beast::error_code error) {
+            if (error) {
+                self->fail(ErrorCode::Unavailable, error);
+                return;
+            }
+            beast::error_code ignored;
+            self->stream_->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+private:
+    void write()
+    {
+        http::async_write(*stream_, message_,
+                          [self = shared_from_this()](beast::error_code error, std::size_t) {
+                              if (error)
+                                  self->fail(ErrorCode::Timeout, error);
+                              else
+                                  self->read();
+                          });
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(maximumResponseBytes);
+        http::async_read(*stream_, buffer_, *parser_,
+                         [self = shared_from_this()](beast::error_code error, std::size_t) {
+                             if (error)
+                                 self->fail(ErrorCode::Timeout, error);
+                             else
+                                 self->finish();
+                         });
+    }
+
+    void finish()
+    {
+        auto message = parser_->release();
+        Response response;
+        response.status = message.result_int();
+        for (const auto &field : message)
+            response.fields.push_back(
+                {std::string(field.name_string()), std::string(field.value())});
+        response.body = std::move(message.body());
+        if (message.keep_alive()) {
+            stream_->expires_never();
+            release_(std::move(stream_));
+        }
+        completion_(std::move(response));
+    }
+
+    void fail(ErrorCode code, beast::error_code error)
+    {
+        stream_->close();
+        completion_(failure(code, error.message()));
+    }
+
+    std::unique_ptr<beast::tcp_stream> stream_;
+    Core::Duration timeout_;
+    http::request<http::string_body> message_;
+    beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    Client::Completion completion_;
+    Release release_;
+};
+
+/// Whether the server has neither closed the idle connection nor sent anything on it.
+bool isUsable(beast::tcp_stream &stream)
+{
+    beast::error_code error;
+    stream.socket().non_blocking(true, error);
+    char byte = 0;
+    stream.socket().receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek,
+                            error);
+    return error == boost::asio::error::would_block;
+}
+
+} // namespace
+
+Client::Client(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint endpoint)
+    : state_(std::make_shared<State>(context, std::move(endpoint)))
+{ }
+
+Client::~Client() = default;
+
+void Client::send(Request request, Core::Duration timeout, Completion completion)
+{
+    std::unique_ptr<beast::tcp_stream> stream;
+    while (!stream && !state_->idle.empty()) {
+        auto candidate = std::move(state_->idle.back());
+        state_->idle.pop_back();
+        if (isUsable(*candidate))
+            stream = std::move(candidate);
+    }
+    if (!stream)
+        stream = std::make_unique<beast::tcp_stream>(state_->context);
+    auto release = [weak = std::weak_ptr<State>(state_)](std::unique_ptr<beast::tcp_stream> kept) {
+        const auto state = weak.lock();
+        if (state && state->idle.size() < maximumIdleConnections)
+            state->idle.push_back(std::move(kept));
+    };
+    std::make_shared<Exchange>(std::move(stream), std::move(request), timeout,
+                               std::move(completion), std::move(release))
+        ->start(state_->endpoint);
+}
+
+} // namespace Chervilpin::Http
--- /dev/null
+++ b/Libraries/Http/Client.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Result.h>
+#include <Http/Messages.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace Chervilpin::Http {
+
+/// An HTTP/1.1 client of one server, with as many kept connections as there are calls at once.
+///
+/// Errors: Unavailable if the server was never reached (nothing can have been done there), Timeout
+/// if the request may have been received. Runs on one thread.
+class Client
+{
+public:
+    using Completion = std::function<void(Core::ErrorOr<Response>)>;
+
+    Client(boost::asio::io_context &, boost::asio::ip::tcp::endpoint);
+    ~Client();
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+    Client(Client &&) = delete;
+    Client &operator=(Client &&) = delete;
+
+    /// Sends one request. The completion is called once, from the context.
+    void send(Request, Core::Duration timeout, Completion);
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+} // namespace Chervilpin::Http
