--- /dev/null
+++ b/Libraries/Engine/NodeSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Peer/Message.h>
+
+#include <string>
+#include <vector>
+
+namespace Chervilpin::Engine {
+
+/// A proxy that is known from the settings, so that a node finds the fleet while the platform is
+/// out.
+struct SeedPeer
+{
+    Core::NodeName name;
+    Core::DataCentreName dataCentre;
+    std::string address; ///< IP:port of its peer listener.
+};
+
+/// What a node knows of itself before it has spoken to anybody.
+struct NodeSettings
+{
+    Core::NodeName name;
+    Core::DataCentreName dataCentre;
+    Core::HalfName half; ///< The half whose callers this VM serves; empty: those of all halves.
+    Peer::Incarnation incarnation = 0;
+    std::string peerAddress; ///< IP:port under which other proxies reach this one.
+    std::vector<SeedPeer> seedPeers;
+    std::string operatorDigest; ///< Hexadecimal SHA-256 of the first operator's credential.
+    Core::Duration drainDeadline{10'000}; ///< How long shutDown() waits for running requests.
+};
+
+} // namespace Chervilpin::Engine
--- a/Libraries/Wire/UpstreamCodec.h
+++ b/Libraries/Wire/UpstreamCodec.h
@@ -2,6 +2,7 @@
 
 #include <Upstream/Messages.h>
 
+// NOLINTNEXTLINE(readability-identifier-naming): named by the protocol's package.
 namespace chervilpin::upstream {
 class Request;
 class Answer;
--- a/Services/Proxy/PlatformClient.cpp
+++ b/Services/Proxy/PlatformClient.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
