--- /dev/null
+++ b/Services/UpstreamStandIn/JournalFile.cpp
@@ -0,0 +1,131 @@
+#include "JournalFile.h"
+
+#include <Core/Verify.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <unistd.h>
+#include <utility>
+
+namespace Chervilpin::UpstreamStandIn {
+
+using StandIn::JournalRecord;
+using StandIn::LogEntry;
+
+namespace {
+
+boost::json::object toJson(const LogEntry &entry)
+{
+    boost::json::array writes;
+    for (const auto &write : entry.writes)
+        writes.emplace_back(write);
+    boost::json::object json;
+    json["term"] = entry.mark.term;
+    json["position"] = entry.mark.position;
+    json["writes"] = std::move(writes);
+    return json;
+}
+
+boost::json::object toJson(const JournalRecord &record)
+{
+    boost::json::array entries;
+    for (const auto &entry : record.entries)
+        entries.push_back(toJson(entry));
+    boost::json::object json;
+    json["known_term"] = record.knownTerm;
+    json["lineage"] = record.lineage;
+    json["is_primary"] = record.role == Upstream::Role::Primary;
+    json["primary"] = record.primary.value();
+    json["primary_address"] = record.primaryAddress;
+    json["kept"] = record.kept;
+    json["entries"] = std::move(entries);
+    return json;
+}
+
+LogEntry entryFrom(const boost::json::value &json)
+{
+    LogEntry entry;
+    entry.mark.term = json.at("term").to_number<Core::Term>();
+    entry.mark.position = json.at("position").to_number<Core::LogPosition>();
+    for (const auto &write : json.at("writes").as_array())
+        entry.writes.emplace_back(write.as_string());
+    return entry;
+}
+
+JournalRecord recordFrom(const boost::json::value &json)
+{
+    JournalRecord record;
+    record.knownTerm = json.at("known_term").to_number<Core::Term>();
+    record.lineage = json.at("lineage").to_number<Core::Term>();
+    record.role =
+        json.at("is_primary").as_bool() ? Upstream::Role::Primary : Upstream::Role::Replica;
+    record.primary = Core::DatabaseName(std::string_view(json.at("primary").as_string()));
+    record.primaryAddress = std::string(json.at("primary_address").as_string());
+    record.kept = json.at("kept").to_number<Core::LogPosition>();
+    for (const auto &entry : json.at("entries").as_array())
+        record.entries.push_back(entryFrom(entry));
+    return record;
+}
+
+/// Boost.JSON throws on a missing or mistyped member; here that becomes an error value.
+Core::ErrorOr<JournalRecord> recordFromLine(const std::string &line)
+{
+    try {
+        return recordFrom(boost::json::parse(line));
+    } catch (const std::exception &exception) {
+        return Core::failure(Core::ErrorCode::InvalidArgument, exception.what());
+    }
+}
+
+Core::ErrorOr<std::vector<JournalRecord>> readAll(const std::string &path)
+{
+    std::vector<JournalRecord> records;
+    std::ifstream file(path);
+    std::string line;
+    while (std::getline(file, line))
+        records.push_back(TRY(recordFromLine(line)));
+    return records;
+}
+
+} // namespace
+
+Core::ErrorOr<JournalFile> JournalFile::create(const std::string &path)
+{
+    auto records = TRY(readAll(path));
+    const int descriptor = ::open(path.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644);
+    if (descriptor < 0)
+        return Core::failure(Core::ErrorCode::Unavailable,
+                             "can't open " + path + ": " + std::strerror(errno));
+    return JournalFile(descriptor, std::move(records));
+}
+
+JournalFile::JournalFile(JournalFile &&other) noexcept
+    : descriptor_(std::exchange(other.descriptor_, -1))
+    , records_(std::move(other.records_))
+{ }
+
+JournalFile::~JournalFile()
+{
+    if (descriptor_ >= 0)
+        ::close(descriptor_);
+}
+
+void JournalFile::append(std::span<const JournalRecord> records)
+{
+    std::string lines;
+    for (const auto &record : records)
+        lines += boost::json::serialize(toJson(record)) + '\n';
+    std::size_t written = 0;
+    while (written < lines.size()) {
+        const auto count = ::write(descriptor_, lines.data() + written, lines.size() - written);
+        VERIFY(count > 0 || errno == EINTR);
+        written += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+}
+
+} // namespace Chervilpin::UpstreamStandIn
