Routing of reads by proven position, proven age or a fresh sample

A read must be proved fresh enough by the status of its own answer, so routing may rest on guesses (lag, load) without risk. Samples of the primary and known terms are stamped by the order in which they were asked for, since whole milliseconds can't tell what came first. A majority that was seen unfenced after a stamp proves that no later term had acknowledged anything before it.

--- /dev/null
+++ b/Libraries/Route/AgeLedger.cpp
@@ -0,0 +1,67 @@
+#include <Route/AgeLedger.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Route {
+
+namespace {
+constexpr std::size_t maximumSamples = 512;
+} // namespace
+
+void AgeLedger::add(const Sample &sample)
+{
+    highestMark_ = std::max(highestMark_.value_or(Core::LogMark{}), sample.mark);
+    if (!samples_.empty() && samples_.back().asked.order >= sample.asked.order)
+        return;
+    // An older primary that answers after a newer one proves nothing that is of use.
+    if (!samples_.empty() && samples_.back().mark.term > sample.mark.term)
+        return;
+    // Samples of one millisecond are worth the same to a stated age; the latest serves strong
+    // reads.
+    if (samples_.size() > 1 && samples_.back().asked.at == sample.asked.at
+        && samples_[samples_.size() - 2].asked.at == sample.asked.at) {
+        samples_.pop_back();
+    }
+    samples_.push_back(sample);
+    if (samples_.size() > maximumSamples)
+        thinOut();
+}
+
+std::optional<Sample> AgeLedger::oldestSince(Core::Instant since) const
+{
+    const auto first = std::ranges::lower_bound(
+        samples_, since, {}, [](const Sample &sample) { return sample.asked.at; });
+    if (first == samples_.end())
+        return std::nullopt;
+    return *first;
+}
+
+std::optional<Sample> AgeLedger::latestAfter(const Stamp &since) const
+{
+    if (samples_.empty() || samples_.back().asked.order <= since.order)
+        return std::nullopt;
+    return samples_.back();
+}
+
+std::optional<Core::Instant> AgeLedger::firstSeen(Core::LogMark mark) const
+{
+    // NOTE: Answers that overtook each other can leave neighbours out of order; the result is then
+    // a little off, which an estimate bears.
+    const auto first = std::ranges::lower_bound(samples_, mark, {}, &Sample::mark);
+    if (first == samples_.end())
+        return std::nullopt;
+    return first->asked.at;
+}
+
+void AgeLedger::thinOut()
+{
+    std::deque<Sample> kept;
+    const std::size_t olderHalf = samples_.size() / 2;
+    for (std::size_t index = 0; index < samples_.size(); ++index) {
+        if (index >= olderHalf || index % 2 == 0)
+            kept.push_back(samples_[index]);
+    }
+    samples_ = std::move(kept);
+}
+
+} // namespace Chervilpin::Route
--- /dev/null
+++ b/Libraries/Route/AgeLedger.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Route/Stamp.h>
+
+#include <deque>
+#include <optional>
+
+namespace Chervilpin::Route {
+
+/// What a primary said of itself: when asked at `asked`, it held `mark` in its own term.
+///
+/// Every write acknowledged before `asked` in that term or a lower one is at or below `mark`.
+struct Sample
+{
+    Stamp asked;
+    Core::LogMark mark;
+};
+
+/// The samples of a group's primaries, at most a few hundred, dense for the near past and sparse
+/// for the far.
+class AgeLedger
+{
+public:
+    void add(const Sample &sample);
+
+    /// The sample with the lowest mark among those asked for at or after the instant.
+    [[nodiscard]] std::optional<Sample> oldestSince(Core::Instant since) const;
+    /// The latest sample, if it was asked for after the stamp.
+    [[nodiscard]] std::optional<Sample> latestAfter(const Stamp &since) const;
+    /// The highest mark of all samples.
+    [[nodiscard]] std::optional<Core::LogMark> highestMark() const { return highestMark_; }
+    /// When a primary was first seen to hold the mark or a later one.
+    [[nodiscard]] std::optional<Core::Instant> firstSeen(Core::LogMark mark) const;
+
+private:
+    void thinOut();
+
+    std::deque<Sample> samples_; ///< By ascending order of asking.
+    std::optional<Core::LogMark> highestMark_;
+};
+
+} // namespace Chervilpin::Route
--- /dev/null
+++ b/Libraries/Route/DatabaseView.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Route/Stamp.h>
+#include <Route/TermEvidence.h>
+#include <Upstream/Messages.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace Chervilpin::Route {
+
+enum class Reachability {
+    Open,   ///< A connection is open, or nothing speaks against opening one.
+    Broken, ///< Connections break or stay silent.
+};
+
+/// What this node knows of one database: its last status, proofs from all statuses, and its load.
+class DatabaseView
+{
+public:
+    explicit DatabaseView(Core::DatabaseName name);
+
+    void observe(const Upstream::Status &status, const Stamp &asked, Core::Instant now);
+    void setReachability(Reachability reachability, Core::Instant now);
+    void started(Core::Instant now);
+    void finished(Core::Duration latency, Core::Instant now);
+    /// Notes how long it took to hold what the primary held.
+    void caughtUpAfter(Core::Duration delay);
+    /// Notes that it did not hold a mark after a wait.
+    void wasBehind(Core::Duration wait);
+
+    [[nodiscard]] const Core::DatabaseName &name() const { return name_; }
+    [[nodiscard]] const TermEvidence &evidence() const { return evidence_; }
+    [[nodiscard]] const std::optional<Upstream::Status> &status() const { return status_; }
+    [[nodiscard]] bool isPrimary() const;
+    [[nodiscard]] bool isReachable() const { return reachability_ == Reachability::Open; }
+    /// The usual delay until it holds what the primary held.
+    [[nodiscard]] Core::Duration catchUpDelay() const;
+    /// Its position some time from now, if it goes on at its rate of late.
+    [[nodiscard]] Core::LogMark predictedHeld(Core::Instant at) const;
+    /// The expected time of a statement in milliseconds; falls back slowly while none is sent, so
+    /// that a database that was slow is tried again.
+    [[nodiscard]] double expectedLatency(Core::Instant now) const;
+    [[nodiscard]] std::uint32_t inFlight() const { return inFlight_; }
+
+private:
+    void noteRate(const Upstream::Status &status, Core::Instant now);
+
+    Core::DatabaseName name_;
+    TermEvidence evidence_;
+    std::optional<Upstream::Status> status_;
+    Stamp statusAsked_;
+    Core::Instant statusSeen_;
+    Reachability reachability_ = Reachability::Open;
+    std::uint32_t inFlight_ = 0;
+    double latencyMilliseconds_ = 0;
+    Core::Instant latencySeen_;
+    double catchUpMilliseconds_;
+    double positionsPerMillisecond_ = 0;
+};
+
+} // namespace Chervilpin::Route
--- /dev/null
+++ b/Libraries/Route/Router.cpp
@@ -0,0 +1,229 @@
+#include <Route/Router.h>
+
+#include <Route/Containment.h>
+#include <Route/ReplicaChoice.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Route {
+
+namespace {
+
+bool isExcluded(const RouteRequest &request, const Core::DatabaseName &database)
+{
+    return std::ranges::find(request.excluded, database) != request.excluded.end();
+}
+
+std::optional<Primary> usablePrimary(const RouteRequest &request, const GroupView &view)
+{
+    auto primary = view.primary();
+    if (!primary || isExcluded(request, primary->database))
+        return std::nullopt;
+    if (!view.databases().at(primary->database).isReachable())
+        return std::nullopt;
+    return primary;
+}
+
+bool isHeldByAny(const GroupView &view, Core::LogMark mark)
+{
+    return std::ranges::any_of(view.databases(), [&](const auto &entry) {
+        const auto &status = entry.second.status();
+        return status && contains(status->held, mark);
+    });
+}
+
+} // namespace
+
+Router::Router(RouterOptions options, const Core::Random &random)
+    : options_(options)
+    , random_(random)
+{ }
+
+RouteDecision Router::route(const RouteRequest &request, const GroupView &view, Core::Instant now)
+{
+    if (now >= request.deadline)
+        return refuse(Engine::RefusalReason::DeadlinePassed);
+    if (request.kind != Engine::RequestKind::Read)
+        return routeToPrimary(request, view);
+    // A token that can't be read, or none, leaves unknown what the session wrote.
+    if (request.freshness == Engine::Freshness::Strong || !request.tokenMark)
+        return routeStrongRead(request, view, now);
+    if (request.freshness == Engine::Freshness::StatedAge)
+        return routeAgedRead(request, view, now);
+    return routeSessionRead(request, view, now);
+}
+
+RouteDecision Router::routeToPrimary(const RouteRequest &request, const GroupView &view) const
+{
+    const auto primary = usablePrimary(request, view);
+    if (!primary)
+        return refuse(Engine::RefusalReason::NoPrimary);
+    return SendTo{.database = primary->database, .term = primary->term};
+}
+
+RouteDecision Router::routeSessionRead(const RouteRequest &request, const GroupView &view,
+                                       Core::Instant now)
+{
+    const ReadDemand demand{.freshness = Engine::Freshness::Session,
+                            .mark = *request.tokenMark,
+                            .arrived = request.arrived};
+    if (auto sent = sendToReplica(request, demand, view, now))
+        return *sent;
+    const auto primary = usablePrimary(request, view);
+    const bool isAtPrimary =
+        primary && contains(view.databases().at(primary->database).status()->held, demand.mark);
+    if (isAtPrimary)
+        return sendReadToPrimary(request, demand, view, now);
+    return lookForFutureMark(request, view, now);
+}
+
+RouteDecision Router::routeStrongRead(const RouteRequest &request, const GroupView &view,
+                                      Core::Instant now)
+{
+    const auto primary = usablePrimary(request, view);
+    if (mayUseReplicas(request)) {
+        if (const auto sample = view.samples().latestAfter(request.arrived))
+            return routeSampledRead(request, *sample, view, now);
+        const auto replicas = eligibleReplicas(view, request.excluded, {}, Core::Duration(0), now);
+        if (primary && !replicas.empty())
+            return AwaitSample{primary->database};
+    }
+    if (!primary)
+        return refuse(Engine::RefusalReason::NoPrimary);
+    const ReadDemand demand{.freshness = Engine::Freshness::Strong,
+                            .mark = request.tokenMark.value_or(Core::LogMark{}),
+                            .term = primary->term,
+                            .arrived = request.arrived,
+                            .origin = SampleOrigin::OwnAnswer};
+    return sendReadToPrimary(request, demand, view, now);
+}
+
+RouteDecision Router::routeAgedRead(const RouteRequest &request, const GroupView &view,
+                                    Core::Instant now)
+{
+    const auto primary = usablePrimary(request, view);
+    if (mayUseReplicas(request)) {
+        const Core::Instant oldest = now + options_.serviceAllowance - request.maximumAge;
+        if (const auto sample = view.samples().oldestSince(oldest))
+            return routeSampledRead(request, *sample, view, now);
+        const auto replicas = eligibleReplicas(view, request.excluded, {}, Core::Duration(0), now);
+        const bool isWorthSampling = request.maximumAge > options_.serviceAllowance;
+        if (primary && isWorthSampling && !replicas.empty())
+            return AwaitSample{primary->database};
+    }
+    if (!primary)
+        return refuse(Engine::RefusalReason::NotFreshEnough);
+    const ReadDemand demand{.freshness = Engine::Freshness::StatedAge,
+                            .mark = *request.tokenMark,
+                            .term = primary->term,
+                            .arrived = request.arrived,
+                            .maximumAge = request.maximumAge,
+                            .origin = SampleOrigin::OwnAnswer};
+    return sendReadToPrimary(request, demand, view, now);
+}
+
+RouteDecision Router::routeSampledRead(const RouteRequest &request, const Sample &sample,
+                                       const GroupView &view, Core::Instant now)
+{
+    const bool isStrong = request.freshness == Engine::Freshness::Strong || !request.tokenMark;
+    ReadDemand demand{.freshness =
+                          isStrong ? Engine::Freshness::Strong : Engine::Freshness::StatedAge,
+                      .mark = sample.mark,
+                      .term = sample.mark.term,
+                      .arrived = request.arrived,
+                      .sampledAt = sample.asked.at,
+                      .maximumAge = request.maximumAge};
+    const Core::LogMark tokenMark = request.tokenMark.value_or(Core::LogMark{});
+    // Where a term differs, the later term with the higher position is enough for both.
+    demand.mark = {std::max(sample.mark.term, tokenMark.term),
+                   std::max(sample.mark.position, tokenMark.position)};
+    if (auto sent = sendToReplica(request, demand, view, now))
+        return *sent;
+    const auto primary = usablePrimary(request, view);
+    if (primary) {
+        demand.mark = tokenMark;
+        demand.term = primary->term;
+        demand.origin = SampleOrigin::OwnAnswer;
+        return sendReadToPrimary(request, demand, view, now);
+    }
+    return refuse(Engine::RefusalReason::NotFreshEnough);
+}
+
+RouteDecision Router::sendReadToPrimary(const RouteRequest &request, ReadDemand demand,
+                                        const GroupView &view, Core::Instant now) const
+{
+    const auto primary = usablePrimary(request, view);
+    if (!primary)
+        return refuse(Engine::RefusalReason::NoPrimary);
+    const Core::LogMark held = view.databases().at(primary->database).status()->held;
+    if (options_.guard == ReadGuard::On && !contains(held, demand.mark))
+        return lookForFutureMark(request, view, now);
+    return SendTo{.database = primary->database,
+                  .term = primary->term,
+                  .atLeast = options_.guard == ReadGuard::On ? demand.mark : Core::LogMark{},
+                  .wait = Core::Duration(0),
+                  .demand = demand};
+}
+
+RouteDecision Router::lookForFutureMark(const RouteRequest &request, const GroupView &view,
+                                        Core::Instant now) const
+{
+    const auto primary = usablePrimary(request, view);
+    if (!primary)
+        return refuse(Engine::RefusalReason::NoPrimary);
+    const Core::LogMark mark = *request.tokenMark;
+    const auto sample = view.samples().latestAfter(request.arrived);
+    if (!sample)
+        return AwaitSample{primary->database};
+    const bool isKnownToLack = sample->mark.term >= mark.term && !contains(sample->mark, mark);
+    const bool isOutOfTime = now >= request.arrived.at + options_.futureMarkWait;
+    if ((isKnownToLack || isOutOfTime) && !isHeldByAny(view, mark))
+        return refuse(Engine::RefusalReason::NotFreshEnough);
+    if (isOutOfTime)
+        return refuse(Engine::RefusalReason::NotFreshEnough);
+    return AwaitSample{primary->database};
+}
+
+std::optional<SendTo> Router::sendToReplica(const RouteRequest &request, const ReadDemand &demand,
+                                            const GroupView &view, Core::Instant now)
+{
+    if (!mayUseReplicas(request))
+        return std::nullopt;
+    const bool isGuarded = options_.guard == ReadGuard::On;
+    const Core::LogMark atLeast = isGuarded ? demand.mark : Core::LogMark{};
+    const Core::Duration wait = std::min(options_.catchUpWait, request.deadline - now);
+    // A mark that no sample covers may be forged. It is worth one try, since a write through
+    // another proxy looks the same.
+    const bool isUnheardOf = atLeast > view.samples().highestMark().value_or(Core::LogMark{});
+    const bool mayWait = !isUnheardOf || request.excluded.empty();
+    const Core::Duration longestWait = mayWait ? wait : Core::Duration(0);
+    const auto candidates = eligibleReplicas(view, request.excluded, atLeast, longestWait, now);
+    const auto chosen = chooseOfTwo(candidates, options_.probeOneIn, now, random_);
+    if (!chosen)
+        return std::nullopt;
+    return SendTo{.database = chosen->view->name(),
+                  .term = view.highestKnownTerm(),
+                  .atLeast = atLeast,
+                  .wait = wait,
+                  .demand = demand};
+}
+
+bool Router::mayUseReplicas(const RouteRequest &request) const
+{
+    switch (options_.strategy) {
+    case ReadStrategy::PrimaryOnly:
+        return false;
+    case ReadStrategy::TokenOnly:
+        return request.freshness == Engine::Freshness::Session && request.tokenMark.has_value();
+    case ReadStrategy::Full:
+        return true;
+    }
+    return true;
+}
+
+Refuse Router::refuse(Engine::RefusalReason reason) const
+{
+    return {reason, options_.retryAfter};
+}
+
+} // namespace Chervilpin::Route
--- /dev/null
+++ b/Libraries/Route/TermEvidence.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Route/Stamp.h>
+#include <Upstream/Messages.h>
+
+#include <vector>
+
+namespace Chervilpin::Route {
+
+/// What statuses of one database have proved, term by term. Proofs stay true for good:
+///
+/// 1. A database that held position p in term T holds it until it is fenced by a higher term, and
+///    that fence's answer tells it.
+/// 2. A database whose known term was at most T in an answer to a query asked at s was not fenced
+/// by
+///    any higher term at s.
+class TermEvidence
+{
+public:
+    /// Notes a status asked for at \a asked.
+    void add(const Upstream::Status &status, const Stamp &asked);
+
+    /// Forgets every position above the given one; for a database that lost entries.
+    void forgetAbove(Core::LogMark held);
+
+    /// Whether it was proved to hold the mark in the mark's own term.
+    [[nodiscard]] bool held(Core::LogMark mark) const;
+    /// Whether it can no longer come to hold the mark in the mark's own term.
+    [[nodiscard]] bool canNeverHold(Core::LogMark mark) const;
+    /// Whether it was proved not to be fenced above the term at or after the stamp.
+    [[nodiscard]] bool wasUnfencedAfter(Core::Term term, const Stamp &since) const;
+    /// The same by the clock: at or after the instant.
+    [[nodiscard]] bool wasUnfencedSince(Core::Term term, Core::Instant since) const;
+    /// The highest term that it was seen to know.
+    [[nodiscard]] Core::Term highestKnownTerm() const { return highestKnownTerm_; }
+
+private:
+    struct Entry
+    {
+        Core::Term term = 0;
+        Core::LogPosition highestHeld = 0; ///< Valid if `isHeld`.
+        bool isHeld = false;
+        Stamp lastKnownAsked; ///< Valid if `isKnown`: the term was the known term when asked then.
+        bool isKnown = false;
+    };
+
+    Entry &entry(Core::Term term);
+    void noteHeld(Core::LogMark held);
+    void noteKnown(Core::Term term, const Stamp &asked);
+
+    std::vector<Entry> entries_; ///< By ascending term; only the latest few.
+    Core::Term highestKnownTerm_ = 0;
+};
+
+} // namespace Chervilpin::Route
--- /dev/null
+++ b/Tests/Route/TestRouter.cpp
@@ -0,0 +1,186 @@
+#include <Route/Router.h>
+#include <Tests/Fakes/FakeGroup.h>
+
+#include <CppUTest/TestHarness.h>
+#include <variant>
+
+using namespace Chervilpin;
+using namespace Chervilpin::Route;
+using Core::Duration;
+using Core::Instant;
+using Core::LogMark;
+using Engine::Freshness;
+using Engine::RefusalReason;
+using Engine::RequestKind;
+
+// clang-format off
+TEST_GROUP(Router)
+{
+    Fakes::FakeGroup group;
+    GroupView view{Core::GroupName("registry-1"), group.names()};
+    StampSource stamps;
+    Router router{{}, Core::Random(3)};
+    Instant now{1000};
+
+    void write(int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            const Core::Term term = group.at(0).knownTerm;
+            group.execute(0, {.term = term, .kind = Upstream::StatementKind::Write, .text = "1"});
+        }
+    }
+    void pullAll()
+    {
+        group.pull(1, 1000);
+        group.pull(2, 1000);
+    }
+    void observe(std::size_t index)
+    {
+        view.observe(group.at(index).name, group.status(index), stamps.next(now), now);
+    }
+    void observeAll()
+    {
+        for (std::size_t index = 0; index < group.size(); ++index)
+            observe(index);
+    }
+    [[nodiscard]] RouteRequest read(Freshness freshness, std::optional<LogMark> mark)
+    {
+        return {.kind = RequestKind::Read, .freshness = freshness, .tokenMark = mark,
+                .maximumAge = Duration(1000), .arrived = stamps.next(now),
+                .deadline = now + Duration(500)};
+    }
+    bool isAnsweredBehind(const SendTo &sent, RouteRequest &request)
+    {
+        now = now + sent.wait;
+        request.excluded.push_back(sent.database);
+        const auto answer = group.execute(group.indexOf(sent.database),
+                                          {.term = sent.term, .atLeast = sent.atLeast});
+        return answer.reason == Upstream::Reason::Behind;
+    }
+    [[nodiscard]] RouteDecision route(const RouteRequest &request)
+    {
+        return router.route(request, view, now);
+    }
+};
+// clang-format on
+
+TEST(Router, SendsWritesToThePrimaryUnderItsTerm)
+{
+    observeAll();
+    const auto decision = route({.kind = RequestKind::Write, .deadline = now + Duration(500)});
+    CHECK(std::get<SendTo>(decision).database == group.at(0).name);
+    LONGS_EQUAL(1, std::get<SendTo>(decision).term);
+}
+
+TEST(Router, RefusesAWriteAtOnceWhenTheMajorityIsFenced)
+{
+    observeAll();
+    group.fence(1, 2);
+    observe(1);
+    CHECK(view.primary().has_value());
+    group.fence(2, 2);
+    observe(2);
+    const auto decision = route({.kind = RequestKind::Write, .deadline = now + Duration(500)});
+    CHECK(std::get<Refuse>(decision).reason == RefusalReason::NoPrimary);
+    CHECK(std::get<Refuse>(decision).retryAfter > Duration(0));
+}
+
+TEST(Router, SendsSessionReadsToReplicasThatHoldTheMark)
+{
+    write(5);
+    pullAll();
+    observeAll();
+    for (int attempt = 0; attempt < 50; ++attempt) {
+        const auto decision = std::get<SendTo>(route(read(Freshness::Session, LogMark{1, 5})));
+        CHECK(decision.database != group.at(0).name);
+        CHECK(decision.atLeast == (LogMark{1, 5}));
+    }
+}
+
+TEST(Router, FallsBackToThePrimaryWhenNoReplicaWillCatchUpInTime)
+{
+    write(5);
+    observeAll();
+    view.wasBehind(group.at(1).name, Duration(50), now);
+    view.wasBehind(group.at(2).name, Duration(50), now);
+    const auto decision = std::get<SendTo>(route(read(Freshness::Session, LogMark{1, 5})));
+    CHECK(decision.database == group.at(0).name);
+}
+
+TEST(Router, SamplesThePrimaryForReadsWithoutAToken)
+{
+    write(5);
+    pullAll();
+    observeAll();
+    const RouteRequest request = read(Freshness::Session, std::nullopt);
+    CHECK(std::holds_alternative<AwaitSample>(route(request)));
+    observe(0);
+    const auto decision = std::get<SendTo>(route(request));
+    CHECK(decision.database != group.at(0).name);
+    CHECK(decision.atLeast == (LogMark{1, 5}));
+}
+
+TEST(Router, ServesAStatedAgeFromASampleThatIsYoungEnough)
+{
+    write(5);
+    pullAll();
+    observeAll();
+    write(3);
+    now = now + Duration(500);
+    const auto decision = std::get<SendTo>(route(read(Freshness::StatedAge, LogMark{})));
+    CHECK(decision.database != group.at(0).name);
+    CHECK(decision.atLeast == (LogMark{1, 5}));
+    now = now + Duration(600);
+    CHECK(std::holds_alternative<AwaitSample>(route(read(Freshness::StatedAge, LogMark{}))));
+}
+
+TEST(Router, RefusesAMarkFromTheFutureOnceASampleLacksIt)
+{
+    write(5);
+    pullAll();
+    observeAll();
+    const LogMark futures[] = {{1, 1000}, {1, ~0ULL}, {9, 1}, {~0ULL, ~0ULL}};
+    for (const LogMark future : futures) {
+        for (const Freshness freshness :
+             {Freshness::Session, Freshness::StatedAge, Freshness::Strong}) {
+            RouteRequest request = read(freshness, future);
+            RouteDecision decision = route(request);
+            int rounds = 0;
+            while (!std::holds_alternative<Refuse>(decision) && rounds < 1000) {
+                now = now + Duration(1);
+                if (const auto *const sent = std::get_if<SendTo>(&decision))
+                    CHECK(isAnsweredBehind(*sent, request));
+                observe(0);
+                decision = route(request);
+                ++rounds;
+            }
+            CHECK(std::get<Refuse>(decision).reason == RefusalReason::NotFreshEnough);
+            CHECK(std::get<Refuse>(decision).retryAfter > Duration(0));
+            CHECK(now < request.deadline);
+        }
+    }
+}
+
+TEST(Router, LeavesASlowReplicaAndComesBackToIt)
+{
+    observeAll();
+    const auto shareOfFirst = [&] {
+        int count = 0;
+        for (int attempt = 0; attempt < 1000; ++attempt) {
+            const auto decision = std::get<SendTo>(route(read(Freshness::Session, LogMark{})));
+            count += decision.database == group.at(1).name ? 1 : 0;
+        }
+        return count;
+    };
+    CHECK(shareOfFirst() > 300);
+    for (int answer = 0; answer < 20; ++answer) {
+        view.started(group.at(1).name, now);
+        view.finished(group.at(1).name, Duration(200), now);
+        view.started(group.at(2).name, now);
+        view.finished(group.at(2).name, Duration(2), now);
+    }
+    const int whileSlow = shareOfFirst();
+    CHECK(whileSlow > 0 && whileSlow < 50);
+    now = now + Duration(30'000);
+    CHECK(shareOfFirst() > 300);
+}
