Attempts, retries, hedges and the matching of answers

What may have run is never called not run: the attempts of a statement keep their fates, and only an answer of the database closes one.

--- /dev/null
+++ b/Libraries/Execute/AttemptTracker.cpp
@@ -0,0 +1,223 @@
+#include <Execute/AttemptTracker.h>
+
+#include <Core/Verify.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Execute {
+
+namespace {
+
+using Engine::RefusalReason;
+using Engine::RequestKind;
+
+/// More exclusions than this would leave a group of three without a choice.
+constexpr std::size_t maximumExcluded = 2;
+
+/// Whether another attempt can end otherwise.
+bool isWorthRetrying(Upstream::Reason reason, RequestKind kind)
+{
+    switch (reason) {
+    case Upstream::Reason::Superseded:
+    case Upstream::Reason::NotPrimary:
+    case Upstream::Reason::Behind:
+        return true;
+    case Upstream::Reason::None:
+    case Upstream::Reason::NoTransaction:
+    case Upstream::Reason::BadStatement:
+        return false;
+    case Upstream::Reason::Overloaded:
+        // Another database may have room for a read; there is only one primary.
+        return kind == RequestKind::Read;
+    }
+    return false;
+}
+
+RefusalReason refusalFor(Upstream::Reason reason)
+{
+    switch (reason) {
+    case Upstream::Reason::Superseded:
+    case Upstream::Reason::NotPrimary:
+        return RefusalReason::NoPrimary;
+    case Upstream::Reason::Behind:
+        return RefusalReason::NotFreshEnough;
+    case Upstream::Reason::NoTransaction:
+        return RefusalReason::TransactionEnded;
+    case Upstream::Reason::BadStatement:
+        return RefusalReason::BadRequest;
+    case Upstream::Reason::Overloaded:
+        return RefusalReason::QueueFull;
+    case Upstream::Reason::None:
+        return RefusalReason::UpstreamFailed;
+    }
+    return RefusalReason::UpstreamFailed;
+}
+
+} // namespace
+
+AttemptTracker::AttemptTracker(StatementTraits traits, RetryPolicy policy)
+    : traits_(traits)
+    , policy_(policy)
+{ }
+
+AttemptId AttemptTracker::sent(const Core::DatabaseName &database, Core::Instant)
+{
+    ++tries_;
+    attempts_.push_back({database, Fate::Open});
+    return attempts_.size() - 1;
+}
+
+AttemptStep AttemptTracker::notSent(const Core::DatabaseName &database, RetryContext &context,
+                                    Core::Instant now)
+{
+    if (isFinished_ || isDelivered_)
+        return KeepWaiting{};
+    ++tries_;
+    exclude(database);
+    return retryOr(RefusalReason::NoPrimary, context, now);
+}
+
+AttemptStep AttemptTracker::answered(AttemptId attempt, Upstream::Verdict verdict,
+                                     Upstream::Reason reason, RetryContext &context,
+                                     Core::Instant now)
+{
+    VERIFY(attempt < attempts_.size());
+    if (attempts_[attempt].fate == Fate::Settled)
+        return KeepWaiting{};
+    attempts_[attempt].fate = Fate::Settled;
+    if (isFinished_ || isDelivered_)
+        return KeepWaiting{};
+    switch (verdict) {
+    case Upstream::Verdict::Done:
+        isDelivered_ = true;
+        return Deliver{attempt};
+    case Upstream::Verdict::Failed:
+        return finish(RefusalReason::UpstreamFailed, Core::Duration(0));
+    case Upstream::Verdict::NotRun:
+        return answeredNotRun(attempt, reason, context, now);
+    }
+    return KeepWaiting{};
+}
+
+AttemptStep AttemptTracker::lost(AttemptId attempt, RetryContext &context, Core::Instant now)
+{
+    VERIFY(attempt < attempts_.size());
+    if (attempts_[attempt].fate != Fate::Open)
+        return KeepWaiting{};
+    attempts_[attempt].fate = Fate::Lost;
+    if (isFinished_ || isDelivered_ || hasFate(Fate::Open))
+        return KeepWaiting{};
+    exclude(attempts_[attempt].database);
+    if (!mayRepeatLost())
+        return finish(RefusalReason::AnswerLost, Core::Duration(0));
+    return retryOr(RefusalReason::AnswerLost, context, now);
+}
+
+AttemptStep AttemptTracker::rejected(AttemptId attempt, RetryContext &context, Core::Instant now)
+{
+    VERIFY(attempt < attempts_.size());
+    VERIFY(traits_.kind == RequestKind::Read);
+    if (isFinished_)
+        return KeepWaiting{};
+    isDelivered_ = false;
+    exclude(attempts_[attempt].database);
+    if (hasFate(Fate::Open))
+        return KeepWaiting{};
+    return retryOr(RefusalReason::NotFreshEnough, context, now);
+}
+
+AttemptStep AttemptTracker::refused(RefusalReason reason, Core::Duration retryAfter, Core::Instant)
+{
+    if (isFinished_ || isDelivered_ || hasFate(Fate::Open))
+        return KeepWaiting{};
+    return finish(reason, retryAfter);
+}
+
+AttemptStep AttemptTracker::tick(Core::Instant now)
+{
+    if (isFinished_ || isDelivered_ || now < traits_.deadline)
+        return KeepWaiting{};
+    return finish(RefusalReason::DeadlinePassed, Core::Duration(0));
+}
+
+bool AttemptTracker::mayHedge() const
+{
+    return traits_.kind == RequestKind::Read && traits_.pinning == Pinning::Free && !isFinished_
+        && !isDelivered_ && attempts_.size() == 1 && attempts_.front().fate == Fate::Open;
+}
+
+bool AttemptTracker::hasFate(Fate fate) const
+{
+    return std::ranges::any_of(attempts_,
+                               [&](const Attempt &attempt) { return attempt.fate == fate; });
+}
+
+bool AttemptTracker::mayRepeatLost() const
+{
+    if (traits_.guard == RepeatGuard::Off)
+        return true;
+    if (traits_.pinning == Pinning::Transaction)
+        return false;
+    switch (traits_.kind) {
+    case RequestKind::Read:
+    case RequestKind::Begin:
+        // A transaction whose BEGIN was not answered is rolled back with its connection.
+        return true;
+    case RequestKind::Write:
+        return traits_.repeatability == Engine::Repeatability::Idempotent;
+    case RequestKind::Commit:
+    case RequestKind::Rollback:
+        return false;
+    }
+    return false;
+}
+
+AttemptStep AttemptTracker::answeredNotRun(AttemptId attempt, Upstream::Reason reason,
+                                           RetryContext &context, Core::Instant now)
+{
+    if (hasFate(Fate::Open))
+        return KeepWaiting{};
+    if (reason == Upstream::Reason::Behind || reason == Upstream::Reason::Overloaded)
+        exclude(attempts_[attempt].database);
+    const RefusalReason refusal = refusalFor(reason);
+    if (traits_.pinning == Pinning::Transaction || !isWorthRetrying(reason, traits_.kind))
+        return finish(refusal, traits_.retryAfter);
+    return retryOr(refusal, context, now);
+}
+
+AttemptStep AttemptTracker::retryOr(RefusalReason reason, RetryContext &context, Core::Instant now)
+{
+    if (traits_.pinning == Pinning::Transaction)
+        return finish(reason, traits_.retryAfter);
+    const auto delay = policy_.nextDelay(tries_, lastDelay_, traits_.deadline, now, context.random);
+    if (!delay || !context.budget.tryTake(now))
+        return finish(reason, traits_.retryAfter);
+    lastDelay_ = *delay;
+    return Retry{*delay, excluded_};
+}
+
+AttemptStep AttemptTracker::finish(RefusalReason reason, Core::Duration retryAfter)
+{
+    isFinished_ = true;
+    const bool mayHaveRun = hasFate(Fate::Open) || hasFate(Fate::Lost);
+    // The database ran a failed statement, though without effect, so "not run" would be untrue.
+    const bool isFailed = reason == RefusalReason::UpstreamFailed;
+    if (mayHaveRun && traits_.guard == RepeatGuard::On) {
+        const bool isDeadline = reason == RefusalReason::DeadlinePassed;
+        return Finish{Core::Outcome::Unknown, isDeadline ? RefusalReason::AnswerLost : reason,
+                      Core::Duration(0)};
+    }
+    if (isFailed)
+        return Finish{Core::Outcome::Unknown, reason, Core::Duration(0)};
+    return Finish{Core::Outcome::NotRun, reason, retryAfter};
+}
+
+void AttemptTracker::exclude(const Core::DatabaseName &database)
+{
+    std::erase(excluded_, database);
+    excluded_.push_back(database);
+    if (excluded_.size() > maximumExcluded)
+        excluded_.erase(excluded_.begin());
+}
+
+} // namespace Chervilpin::Execute
--- /dev/null
+++ b/Tests/Execute/TestAttemptTracker.cpp
@@ -0,0 +1,233 @@
+#include <Execute/AttemptTracker.h>
+
+#include <CppUTest/TestHarness.h>
+#include <variant>
+#include <vector>
+
+using namespace Chervilpin;
+using namespace Chervilpin::Execute;
+using Core::Instant;
+using Core::Outcome;
+using Engine::RefusalReason;
+using Engine::Repeatability;
+using Engine::RequestKind;
+using Upstream::Reason;
+using Upstream::Verdict;
+
+namespace {
+
+const Core::DatabaseName database("registry-1-a");
+const Instant start(1000);
+const Instant deadline(2000);
+
+enum class Event {
+    Lost,
+    NotSent,
+    Superseded,
+    Behind,
+    BadStatement,
+    Overloaded,
+    NoTransaction,
+    Failed,
+    Done,
+    Refused,
+    Deadline,
+};
+
+enum class Expected {
+    Wait,
+    Retry,
+    Deliver,
+    NotRun,
+    Unknown,
+};
+
+Reason reasonOf(Event event)
+{
+    switch (event) {
+    case Event::Superseded:
+        return Reason::Superseded;
+    case Event::Behind:
+        return Reason::Behind;
+    case Event::BadStatement:
+        return Reason::BadStatement;
+    case Event::Overloaded:
+        return Reason::Overloaded;
+    case Event::NoTransaction:
+        return Reason::NoTransaction;
+    default:
+        return Reason::None;
+    }
+}
+
+Verdict verdictOf(Event event)
+{
+    if (event == Event::Done)
+        return Verdict::Done;
+    return event == Event::Failed ? Verdict::Failed : Verdict::NotRun;
+}
+
+/// Sends an attempt where the event needs one, and lets the event happen to it.
+AttemptStep apply(AttemptTracker &tracker, RetryContext &context, Event event)
+{
+    if (event == Event::NotSent)
+        return tracker.notSent(database, context, start);
+    if (event == Event::Refused)
+        return tracker.refused(RefusalReason::NoPrimary, Core::Duration(250), start);
+    const AttemptId attempt = tracker.sent(database, start);
+    if (event == Event::Lost)
+        return tracker.lost(attempt, context, start);
+    if (event == Event::Deadline)
+        return tracker.tick(deadline);
+    return tracker.answered(attempt, verdictOf(event), reasonOf(event), context, start);
+}
+
+Expected kindOf(const AttemptStep &step)
+{
+    if (const auto *const finish = std::get_if<Finish>(&step))
+        return finish->outcome == Outcome::NotRun ? Expected::NotRun : Expected::Unknown;
+    if (std::holds_alternative<Retry>(step))
+        return Expected::Retry;
+    return std::holds_alternative<Deliver>(step) ? Expected::Deliver : Expected::Wait;
+}
+
+struct Case
+{
+    RequestKind kind;
+    Repeatability repeatability;
+    Pinning pinning;
+    std::vector<Event> events;
+    Expected last;
+};
+
+constexpr auto once = Repeatability::NotRepeatable;
+constexpr auto idempotent = Repeatability::Idempotent;
+constexpr auto alone = Pinning::Free;
+constexpr auto pinned = Pinning::Transaction;
+
+const Case cases[] = {
+    // What the database proves not to have run may be sent again, whatever it is.
+    {RequestKind::Write, once, alone, {Event::Superseded}, Expected::Retry},
+    {RequestKind::Write, once, alone, {Event::NotSent}, Expected::Retry},
+    {RequestKind::Write, once, alone, {Event::Superseded, Event::Done}, Expected::Deliver},
+    {RequestKind::Read, once, alone, {Event::Behind}, Expected::Retry},
+    {RequestKind::Read, once, alone, {Event::Overloaded}, Expected::Retry},
+    // A lost answer ends what must not run twice.
+    {RequestKind::Write, once, alone, {Event::Lost}, Expected::Unknown},
+    {RequestKind::Write, once, alone, {Event::Superseded, Event::Lost}, Expected::Unknown},
+    {RequestKind::Commit, idempotent, pinned, {Event::Lost}, Expected::Unknown},
+    {RequestKind::Write, idempotent, pinned, {Event::Lost}, Expected::Unknown},
+    {RequestKind::Read, once, pinned, {Event::Lost}, Expected::Unknown},
+    // A lost answer leaves the fate of an idempotent write open whatever comes later.
+    {RequestKind::Write, idempotent, alone, {Event::Lost}, Expected::Retry},
+    {RequestKind::Write, idempotent, alone, {Event::Lost, Event::Done}, Expected::Deliver},
+    {RequestKind::Write, idempotent, alone, {Event::Lost, Event::Refused}, Expected::Unknown},
+    {RequestKind::Write, idempotent, alone, {Event::Lost, Event::BadStatement}, Expected::Unknown},
+    {RequestKind::Write, idempotent, alone, {Event::Lost, Event::Deadline}, Expected::Unknown},
+    {RequestKind::Read, once, alone, {Event::Lost}, Expected::Retry},
+    {RequestKind::Begin, once, alone, {Event::Lost}, Expected::Retry},
+    // Refusals are final at once.
+    {RequestKind::Write, once, alone, {Event::Refused}, Expected::NotRun},
+    {RequestKind::Write, once, alone, {Event::BadStatement}, Expected::NotRun},
+    {RequestKind::Write, once, alone, {Event::Overloaded}, Expected::NotRun},
+    {RequestKind::Write, once, alone, {Event::Superseded, Event::Refused}, Expected::NotRun},
+    {RequestKind::Write, once, pinned, {Event::Superseded}, Expected::NotRun},
+    {RequestKind::Commit, once, pinned, {Event::NoTransaction}, Expected::NotRun},
+    {RequestKind::Write, once, alone, {Event::Deadline}, Expected::Unknown},
+    // It ran, so "not run" would be untrue.
+    {RequestKind::Write, once, alone, {Event::Failed}, Expected::Unknown},
+};
+
+AttemptTracker trackerOf(const Case &item, RepeatGuard guard = RepeatGuard::On)
+{
+    return {{.kind = item.kind,
+             .repeatability = item.repeatability,
+             .pinning = item.pinning,
+             .deadline = deadline,
+             .guard = guard},
+            RetryPolicy({})};
+}
+
+} // namespace
+
+TEST_GROUP(AttemptTracker){};
+
+TEST(AttemptTracker, DecidesByWhatMayHaveRun)
+{
+    std::size_t number = 0;
+    for (const Case &item : cases) {
+        AttemptTracker tracker = trackerOf(item);
+        RetryBudget budget({});
+        Core::Random random(1);
+        RetryContext context{budget, random};
+        AttemptStep step;
+        for (const Event event : item.events)
+            step = apply(tracker, context, event);
+        LONGS_EQUAL_TEXT(static_cast<int>(item.last), static_cast<int>(kindOf(step)),
+                         std::to_string(number).c_str());
+        ++number;
+    }
+}
+
+TEST(AttemptTracker, RepeatsWhatMayHaveRunWithoutTheGuard)
+{
+    const Case item{RequestKind::Write, once, alone, {}, Expected::Unknown};
+    AttemptTracker tracker = trackerOf(item, RepeatGuard::Off);
+    RetryBudget budget({});
+    Core::Random random(1);
+    RetryContext context{budget, random};
+    CHECK(kindOf(apply(tracker, context, Event::Lost)) == Expected::Retry);
+    CHECK(kindOf(apply(tracker, context, Event::Refused)) == Expected::NotRun);
+}
+
+TEST(AttemptTracker, TakesALateAnswerOfALostAttempt)
+{
+    AttemptTracker tracker = trackerOf({RequestKind::Write, idempotent, alone, {}, {}});
+    RetryBudget budget({});
+    Core::Random random(1);
+    RetryContext context{budget, random};
+    const AttemptId attempt = tracker.sent(database, start);
+    CHECK(kindOf(tracker.lost(attempt, context, start)) == Expected::Retry);
+    CHECK(kindOf(tracker.answered(attempt, Verdict::Done, Reason::None, context, start))
+          == Expected::Deliver);
+    CHECK(kindOf(tracker.answered(attempt, Verdict::Done, Reason::None, context, start))
+          == Expected::Wait);
+}
+
+TEST(AttemptTracker, DeliversOneOfTwoHedgedReads)
+{
+    AttemptTracker tracker = trackerOf({RequestKind::Read, once, alone, {}, {}});
+    RetryBudget budget({});
+    Core::Random random(1);
+    RetryContext context{budget, random};
+    const AttemptId slow = tracker.sent(database, start);
+    CHECK(tracker.mayHedge());
+    const AttemptId fast = tracker.sent(Core::DatabaseName("registry-1-b"), start);
+    CHECK(!tracker.mayHedge());
+    CHECK(kindOf(tracker.lost(slow, context, start)) == Expected::Wait);
+    CHECK(kindOf(tracker.answered(fast, Verdict::Done, Reason::None, context, start))
+          == Expected::Deliver);
+}
+
+TEST(AttemptTracker, HedgesNoWrite)
+{
+    AttemptTracker tracker = trackerOf({RequestKind::Write, idempotent, alone, {}, {}});
+    CHECK_EQUAL(0, tracker.sent(database, start));
+    CHECK(!tracker.mayHedge());
+}
+
+TEST(AttemptTracker, StopsRetryingWhenTheBudgetIsSpent)
+{
+    RetryBudget budget({.retriesPerRequest = 0.1, .maximumSaved = 2});
+    Core::Random random(1);
+    RetryContext context{budget, random};
+    std::size_t retries = 0;
+    for (int request = 0; request < 100; ++request) {
+        budget.noteRequest(start);
+        AttemptTracker tracker = trackerOf({RequestKind::Read, once, alone, {}, {}});
+        if (kindOf(apply(tracker, context, Event::Lost)) == Expected::Retry)
+            ++retries;
+    }
+    // Ten hundredths of the requests, and what was saved up.
+    CHECK(retries >= 10 && retries <= 12);
+}
