Failover and ownership: detection, reserved terms, promotion, facade

Cause: nothing detected a lost primary or ordered a promotion.

Change: FailoverManager (one per node) pings the databases of the groups that the node watches, asks watchers in other data centres, fences and promotes under a term reserved ahead in term/<group>, and learns what others promoted. HandoverCoordinator drives a change of the owning half as a planned promotion. The owner in a term is fixed when the term is granted, so that a node that learns a term from a database alone knows its owner from the object, and waits if it can't know it.

Ruled out: taking the owner from the last message (a term learned from a database could be served under the old owner); letting a promotion try a second database under one term (a lost answer may hide a success).

Shown by TestFailover: first primary and owner known at every node, and a killed primary is replaced.

--- /dev/null
+++ b/Libraries/Failover/GroupFailover.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Core/Random.h>
+#include <Failover/Actions.h>
+#include <Failover/PeerConsent.h>
+#include <Failover/PeerMessages.h>
+#include <Failover/Policy.h>
+#include <Failover/PromotionCoordinator.h>
+#include <Failover/Settings.h>
+#include <Failover/SuspicionDetector.h>
+#include <Failover/TermReservation.h>
+#include <Upstream/Messages.h>
+
+#include <map>
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Chervilpin::Failover {
+
+/// Numbers the groups of one process; the upper bits of the tokens of a group's requests.
+using GroupNumber = std::uint64_t;
+
+[[nodiscard]] GroupNumber groupNumberOf(Token);
+
+/// What the engine saw of a database besides the answers to this module's own requests.
+struct Observation
+{
+    /// A request that a live database answers at once was sent, such as an idle heartbeat.
+    struct Pinged
+    { };
+    /// Any answer came.
+    struct Answered
+    {
+        Upstream::Status status;
+    };
+    /// The connection broke or was closed.
+    struct Ended
+    { };
+    /// A connect was refused.
+    struct Refused
+    { };
+
+    Core::DatabaseName database;
+    ConnectionId connection = 0; ///< Of the engine, from 1; 0 where there is none.
+    std::variant<Pinged, Answered, Ended, Refused> what;
+};
+
+/// Why a request got no answer.
+enum class NoAnswer {
+    Refused, ///< The connect was refused.
+    Lost,    ///< The connection broke, or nothing came in time.
+};
+
+/// What one node knows of a group and holds for it.
+struct GroupView
+{
+    Core::Term term = 0; ///< 0 until a primary is known.
+    Core::DatabaseName primary;
+    Core::HalfName owner;
+    /// The owner in the highest granted term, as the platform's object last showed. Where it
+    /// differs from `owner`, an ownership change is under way or was left unfinished.
+    std::optional<Core::HalfName> grantedOwner;
+    Core::Term highestTermSeen = 0;
+    bool isWatcher = false; ///< Whether this node pings the databases and may promote.
+    std::size_t watcherRank = 0;
+    bool isPromoting = false;
+    bool isPlatformOut = false;
+    std::optional<Core::Term> reservedTerm;
+    std::optional<Core::Term> ownershipTerm; ///< The granted term of requestOwnership().
+};
+
+/// One node's part in keeping a group with a primary: watches it, agrees with peers on its loss,
+/// promotes in the order of the reserved terms, and learns what others did.
+class GroupFailover
+{
+public:
+    GroupFailover(ThisNode, Group, GroupNumber, FailoverPolicy, Core::Random, Core::Instant now);
+
+    void setNodes(const std::vector<PeerNode> &live);
+    void release() { reservation_.release(); }
+
+    void observed(const Observation &, Core::Instant now);
+    [[nodiscard]] Health health(const Core::DatabaseName &, Core::Instant now) const;
+
+    void answered(Token, const Upstream::Answer &, Core::Instant now);
+    void gaveNoAnswer(Token, NoAnswer, Core::Instant now);
+    void replied(const Platform::ReplyBody &, Core::Instant now);
+    void received(const Core::NodeName &from, const PeerMessage &, Core::Instant now);
+    [[nodiscard]] std::optional<Platform::CallBody> tick(Core::Instant now);
+
+    void requestOwnership(const Core::HalfName &);
+    void dropOwnershipRequest() { reservation_.dropOwnershipRequest(); }
+    /// Fences with the granted term of the ownership change and promotes, if possible the same
+    /// database.
+    void startHandover(Core::Instant now);
+
+    [[nodiscard]] const Group &group() const { return group_; }
+    [[nodiscard]] GroupView view() const;
+    [[nodiscard]] const std::optional<TermObject> &object() const { return reservation_.object(); }
+    [[nodiscard]] const std::vector<PeerNode> &liveNodes() const { return live_; }
+
+    /// Takes out what was decided since the last call.
+    [[nodiscard]] Actions takeActions();
+
+private:
+    struct Watched
+    {
+        Database database;
+        SuspicionDetector detector;
+        std::optional<Upstream::Status> status;
+        std::optional<Core::Instant> pingedAt;
+        std::optional<Core::Instant> followSentAt;
+        std::optional<Core::Instant> strayedAt; ///< Since when it has not followed the primary.
+    };
+
+    struct Sent
+    {
+        Core::DatabaseName database;
+        Upstream::RequestBody body;
+        Connection connection = Connection::Established;
+        Core::Instant at;
+    };
+
+    struct Known
+    {
+        Core::Term term = 0;
+        Core::DatabaseName primary;
+        Core::HalfName owner;
+    };
+
+    Watched *find(const Core::DatabaseName &);
+    [[nodiscard]] const Watched *find(const Core::DatabaseName &) const;
+    [[nodiscard]] bool isWatcher() const;
+    [[nodiscard]] std::size_t watcherRank() const;
+
+    // Sending.
+    void send(const Core::DatabaseName &, const Upstream::RequestBody &, Connection, Core::Instant);
+    void send(const PromotionCoordinator::Requests &, Core::Instant);
+    void sendToPeer(const Core::NodeName &, const PeerMessage &);
+    void note(std::string_view event, std::vector<EventField> = {});
+    void ping(Core::Instant now);
+    void forgetOldRequests(Core::Instant now);
+
+    // Learning.
+    void noteStatus(Watched &, const Upstream::Status &, Core::Instant now);
+    void learn(const Known &, std::size_t tellCount, Core::Instant now);
+    void learnFromDatabase(const Watched &, Core::Instant now);
+    void resolveOwner(Core::Instant now);
+    void learnFromObject(Core::Instant now);
+    void tellPeers(std::size_t fanOut);
+    void askForState(Core::Instant now);
+
+    // Deciding.
+    [[nodiscard]] bool reachesMajority(Core::Instant now) const;
+    [[nodiscard]] bool reachesOtherDataCentre(Core::Instant now) const;
+    [[nodiscard]] bool suspectsItself(Core::Instant now) const;
+    [[nodiscard]] bool isPrimaryLost(Core::Instant now) const;
+    [[nodiscard]] bool isAbandoned(Core::Instant now) const;
+    void considerLoss(Core::Instant now);
+    void considerAbandoned(Core::Instant now);
+    void promoteAfterRankDelay(Core::Instant ripeSince, Core::Instant now);
+    void startPromotion(Core::Term, const Core::DatabaseName &preferred, Core::Instant now);
+    void advancePromotion(Core::Instant now);
+    void finishPromotion(Core::Instant now);
+    void reportTimings(Core::Instant now);
+    void keepFollowing(Core::Instant now);
+
+    ThisNode self_;
+    Group group_;
+    FailoverPolicy policy_;
+    Token lastToken_;
+    Core::Random random_;
+    std::vector<PeerNode> live_;
+    std::vector<PeerNode> watchers_;
+    std::vector<Watched> databases_;
+    TermReservation reservation_;
+    PeerConsent consent_;
+    std::map<Token, Sent> sent_;
+    Known known_;
+    std::optional<Known> unowned_; ///< A primary whose owner isn't known yet.
+    Core::Term termSeen_ = 0;
+    Core::Instant termSeenAt_;
+    std::optional<Core::Instant> agreedAt_;
+    std::optional<PromotionCoordinator> promotion_;
+    bool isAnnounced_ = false; ///< Whether the promotion's success was told.
+    bool saidNoTerm_ = false;
+    FailoverTimings timings_;
+    bool isLearnMeasured_ = true;
+    std::optional<Core::Instant> askedStateAt_;
+    Actions actions_;
+};
+
+} // namespace Chervilpin::Failover
--- /dev/null
+++ b/Libraries/Failover/PromotionCoordinator.cpp
@@ -0,0 +1,232 @@
+#include <Core/Verify.h>
+#include <Failover/PromotionCoordinator.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chervilpin::Failover {
+
+namespace {
+
+bool isDue(const std::optional<Core::Instant> &lastSent, Core::Duration interval, Core::Instant now)
+{
+    return !lastSent || now - *lastSent >= interval;
+}
+
+void append(PromotionCoordinator::Requests &to, PromotionCoordinator::Requests from)
+{
+    std::move(from.begin(), from.end(), std::back_inserter(to));
+}
+
+} // namespace
+
+Core::ErrorOr<PromotionCoordinator> PromotionCoordinator::create(Plan plan, PromotionPolicy policy,
+                                                                 Core::Instant now)
+{
+    if (plan.term == 0)
+        return Core::failure(Core::ErrorCode::InvalidArgument, "a promotion needs a term");
+    if (plan.group.databases.empty())
+        return Core::failure(Core::ErrorCode::InvalidArgument, "the group has no databases");
+    return PromotionCoordinator(std::move(plan), policy, now);
+}
+
+PromotionCoordinator::PromotionCoordinator(Plan plan, PromotionPolicy policy, Core::Instant now)
+    : plan_(std::move(plan))
+    , policy_(policy)
+    , startedAt_(now)
+{
+    for (const auto &database : plan_.group.databases)
+        members_.push_back(Member{.database = database});
+}
+
+PromotionCoordinator::Requests PromotionCoordinator::answered(const Core::DatabaseName &database,
+                                                              const Upstream::RequestBody &request,
+                                                              const Upstream::Answer &answer,
+                                                              Core::Instant now)
+{
+    Member *member = find(database);
+    if (member == nullptr)
+        return {};
+    highestTermSeen_ = std::max(highestTermSeen_, answer.status.knownTerm);
+    if (answer.status.knownTerm > plan_.term) {
+        state_ = State::Superseded;
+        return {};
+    }
+    if (std::holds_alternative<Upstream::Fence>(request))
+        noteFence(*member, answer, now);
+    if (std::holds_alternative<Upstream::Promote>(request))
+        return notePromotion(database, answer, now);
+    if (std::holds_alternative<Upstream::Follow>(request))
+        member->follows = member->follows || answer.verdict == Upstream::Verdict::Done;
+    return proceed(now);
+}
+
+PromotionCoordinator::Requests PromotionCoordinator::tick(Core::Instant now)
+{
+    checkDeadlines(now);
+    Requests requests = proceed(now);
+    if (state_ == State::Fencing)
+        append(requests, sendFences(now));
+    if (state_ == State::Promoting)
+        append(requests, sendPromotion(now));
+    if (state_ == State::Promoted)
+        append(requests, sendFollows(now));
+    return requests;
+}
+
+bool PromotionCoordinator::everyoneFollows() const
+{
+    return std::ranges::all_of(members_, [this](const Member &member) {
+        return member.follows || member.database.name == chosen_;
+    });
+}
+
+PromotionCoordinator::Member *PromotionCoordinator::find(const Core::DatabaseName &database)
+{
+    auto found = std::ranges::find_if(
+        members_, [&](const Member &member) { return member.database.name == database; });
+    return found == members_.end() ? nullptr : &*found;
+}
+
+void PromotionCoordinator::noteFence(Member &member, const Upstream::Answer &answer,
+                                     Core::Instant now)
+{
+    if (answer.verdict != Upstream::Verdict::Done || state_ != State::Fencing)
+        return;
+    // The mark is final: the database takes no entry of a lower term from here on.
+    if (!member.fencedMark)
+        member.fencedMark = answer.status.held;
+    if (!fencedAt_ && fencedCount() >= neededFences())
+        fencedAt_ = now;
+}
+
+PromotionCoordinator::Requests
+PromotionCoordinator::notePromotion(const Core::DatabaseName &database,
+                                    const Upstream::Answer &answer, Core::Instant now)
+{
+    if (state_ != State::Promoting || database != chosen_)
+        return {};
+    if (answer.verdict != Upstream::Verdict::Done) {
+        // It forgot the fence, thus perhaps its log too. Only a new term may choose again.
+        state_ = State::GivenUp;
+        return {};
+    }
+    state_ = State::Promoted;
+    promotedAt_ = now;
+    for (auto &member : members_)
+        member.lastSent.reset();
+    return sendFollows(now);
+}
+
+std::size_t PromotionCoordinator::fencedCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        members_, [](const Member &member) { return member.fencedMark.has_value(); }));
+}
+
+std::size_t PromotionCoordinator::neededFences() const
+{
+    return policy_.majorityFence == Guard::On ? majorityOf(members_.size()) : 1;
+}
+
+bool PromotionCoordinator::mayChoose(Core::Instant now) const
+{
+    if (fencedCount() < neededFences())
+        return false;
+    if (plan_.preferred.isEmpty() || fencedCount() == members_.size())
+        return true;
+    const bool hasPreferred = std::ranges::any_of(members_, [this](const Member &member) {
+        return member.fencedMark && member.database.name == plan_.preferred;
+    });
+    return hasPreferred || now - *fencedAt_ >= policy_.preferredWait;
+}
+
+const PromotionCoordinator::Member *PromotionCoordinator::fullest() const
+{
+    const Member *best = nullptr;
+    for (const auto &member : members_) {
+        if (!member.fencedMark)
+            continue;
+        const bool isFuller = best != nullptr && *member.fencedMark > *best->fencedMark;
+        const bool isTiedAndPreferred = best != nullptr && *member.fencedMark == *best->fencedMark
+            && member.database.name == plan_.preferred;
+        if (best == nullptr || isTiedAndPreferred || (isFuller && policy_.highestMark == Guard::On))
+            best = &member;
+    }
+    return best;
+}
+
+PromotionCoordinator::Requests PromotionCoordinator::proceed(Core::Instant now)
+{
+    if (state_ == State::Fencing && mayChoose(now))
+        return choose(now);
+    return {};
+}
+
+PromotionCoordinator::Requests PromotionCoordinator::choose(Core::Instant now)
+{
+    const Member *best = fullest();
+    VERIFY(best != nullptr);
+    // Invariant: one term promotes one database. A lost answer may hide a success, so that a
+    // second choice under the same term could make two primaries of one term.
+    VERIFY(chosen_.isEmpty() || policy_.oneChoicePerTerm == Guard::Off);
+    chosen_ = best->database.name;
+    chosenAt_ = now;
+    state_ = State::Promoting;
+    for (auto &member : members_)
+        member.lastSent.reset();
+    return sendPromotion(now);
+}
+
+void PromotionCoordinator::checkDeadlines(Core::Instant now)
+{
+    if (state_ == State::Fencing && now - startedAt_ >= policy_.fenceDeadline)
+        state_ = State::GivenUp;
+    if (state_ != State::Promoting || now - *chosenAt_ < policy_.promoteDeadline)
+        return;
+    if (policy_.oneChoicePerTerm == Guard::On) {
+        state_ = State::GivenUp;
+        return;
+    }
+    find(chosen_)->fencedMark.reset();
+    state_ = State::Fencing;
+}
+
+PromotionCoordinator::Requests PromotionCoordinator::sendFences(Core::Instant now)
+{
+    Requests requests;
+    for (auto &member : members_) {
+        if (member.fencedMark || !isDue(member.lastSent, policy_.retryInterval, now))
+            continue;
+        member.lastSent = now;
+        requests.push_back({member.database.name, Upstream::Fence{.term = plan_.term}});
+    }
+    return requests;
+}
+
+PromotionCoordinator::Requests PromotionCoordinator::sendPromotion(Core::Instant now)
+{
+    Member *member = find(chosen_);
+    if (!isDue(member->lastSent, policy_.retryInterval, now))
+        return {};
+    member->lastSent = now;
+    return {{chosen_, Upstream::Promote{.term = plan_.term}}};
+}
+
+PromotionCoordinator::Requests PromotionCoordinator::sendFollows(Core::Instant now)
+{
+    Requests requests;
+    for (auto &member : members_) {
+        if (member.follows || member.database.name == chosen_
+            || !isDue(member.lastSent, policy_.followRetryInterval, now))
+            continue;
+        member.lastSent = now;
+        requests.push_back({member.database.name,
+                            Upstream::Follow{.term = plan_.term,
+                                             .primary = chosen_,
+                                             .primaryAddress = find(chosen_)->database.address}});
+    }
+    return requests;
+}
+
+} // namespace Chervilpin::Failover
--- /dev/null
+++ b/Libraries/Failover/TermReservation.cpp
@@ -0,0 +1,283 @@
+#include <Failover/TermReservation.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chervilpin::Failover {
+
+namespace {
+
+constexpr std::int64_t maximumDoublings = 6;
+constexpr std::size_t ownersKept = 16;
+
+/// A store that lost its last changes must not take back what was granted or promoted.
+TermObject keepingHighest(TermObject found, const TermObject &known)
+{
+    found.highestGranted = std::max(found.highestGranted, known.highestGranted);
+    if (known.current.term > found.current.term)
+        found.current = known.current;
+    for (const auto &change : known.owners) {
+        if (std::ranges::find(found.owners, change) == found.owners.end())
+            found.owners.push_back(change);
+    }
+    std::ranges::stable_sort(found.owners, {}, &OwnerChange::since);
+    return found;
+}
+
+void trim(std::vector<OwnerChange> &owners)
+{
+    if (owners.size() > ownersKept)
+        owners.erase(owners.begin(), owners.end() - ownersKept);
+}
+
+} // namespace
+
+TermReservation::TermReservation(ThisNode self, const Group &group, FailoverPolicy policy,
+                                 Core::Random random)
+    : self_(std::move(self))
+    , group_(group)
+    , policy_(policy)
+    , random_(random)
+    , reservationNonce_(random_.bits())
+{ }
+
+void TermReservation::setHolders(std::vector<Core::NodeName> holders)
+{
+    if (holders != holders_)
+        holders_ = std::move(holders);
+}
+
+void TermReservation::release()
+{
+    isReleased_ = true;
+}
+
+void TermReservation::noteTermSeen(Core::Term term)
+{
+    termSeen_ = std::max(termSeen_, term);
+}
+
+void TermReservation::publish(const CurrentPrimary &current)
+{
+    if (!publication_ || publication_->term < current.term)
+        publication_ = current;
+}
+
+void TermReservation::requestOwnership(const Core::HalfName &owner)
+{
+    if (ownership_ && ownership_->owner == owner)
+        return;
+    ownership_ = OwnerChange{.owner = owner, .nonce = random_.bits()};
+}
+
+void TermReservation::dropOwnershipRequest()
+{
+    ownership_.reset();
+}
+
+std::optional<Platform::CallBody> TermReservation::tick(Core::Instant now)
+{
+    if (isCalling_ && now - calledAt_ >= policy_.platformTimeout)
+        failed(now);
+    if (isCalling_ || now < notBefore_)
+        return std::nullopt;
+    if (isFresh_ && now - readAt_ >= policy_.refreshInterval)
+        isFresh_ = false;
+    if (!isFresh_) {
+        isCalling_ = true;
+        calledAt_ = now;
+        return Platform::Get{termKey(group_.name)};
+    }
+    TermObject wanted = edited();
+    if (wanted == *object_)
+        return std::nullopt;
+    isCalling_ = true;
+    calledAt_ = now;
+    put_ = std::move(wanted);
+    return Platform::Put{termKey(group_.name), put_->toJson(), version_};
+}
+
+void TermReservation::replied(const Platform::ReplyBody &reply, Core::Instant now)
+{
+    if (!isCalling_)
+        return;
+    isCalling_ = false;
+    const std::optional<TermObject> put = std::exchange(put_, std::nullopt);
+    readAt_ = now;
+    if (const auto *objects = std::get_if<Platform::Objects>(&reply);
+        objects != nullptr && objects->objects.size() == 1) {
+        if (put)
+            adopt(*put, objects->objects.front().version);
+        else
+            adopt(objects->objects.front());
+        return;
+    }
+    if (const auto *conflict = std::get_if<Platform::VersionConflict>(&reply)) {
+        if (conflict->current.version == 0)
+            adopt(TermObject{.owners = {{.owner = group_.owner}}}, 0);
+        else
+            adopt(conflict->current);
+        return;
+    }
+    if (std::holds_alternative<Platform::Missing>(reply)) {
+        adopt(TermObject{.owners = {{.owner = group_.owner}}}, 0);
+        return;
+    }
+    failed(now);
+}
+
+std::optional<Core::Term> TermReservation::reservedTerm() const
+{
+    if (!own_ || !isUsable(*own_) || isReleased_)
+        return std::nullopt;
+    return own_->term;
+}
+
+void TermReservation::use()
+{
+    own_.reset();
+    reservationNonce_ = random_.bits();
+}
+
+std::optional<Core::Term> TermReservation::ownershipTerm() const
+{
+    if (!ownership_ || ownership_->since == 0)
+        return std::nullopt;
+    return ownership_->since;
+}
+
+std::size_t TermReservation::rank() const
+{
+    const std::optional<Core::Term> own = reservedTerm();
+    if (!own || !object_)
+        return 0;
+    return static_cast<std::size_t>(
+        std::ranges::count_if(object_->reservations, [&](const Reservation &entry) {
+            return isUsable(entry) && entry.term < *own;
+        }));
+}
+
+bool TermReservation::isUsable(const Reservation &entry) const
+{
+    const Core::Term published = object_ ? object_->current.term : 0;
+    return entry.term > std::max(termSeen_, published);
+}
+
+bool TermReservation::isHolder(const Core::NodeName &node) const
+{
+    return std::ranges::find(holders_, node) != holders_.end();
+}
+
+TermObject TermReservation::edited() const
+{
+    TermObject object = *object_;
+    editPublication(object);
+    editOwnership(object);
+    editReservation(object);
+    return object;
+}
+
+void TermReservation::editReservation(TermObject &object) const
+{
+    const auto isStaleOwn = [&](const Reservation &entry) {
+        return entry.node == self_.name
+            && (isReleased_ || entry.nonce != reservationNonce_ || !isUsable(entry));
+    };
+    const bool wants = !isReleased_ && isHolder(self_.name);
+    if (!wants && !isReleased_)
+        return;
+    if (isReleased_) {
+        std::erase_if(object.reservations, isStaleOwn);
+        return;
+    }
+    const Reservation *own = object.reservationOf(self_.name);
+    if (own != nullptr && !isStaleOwn(*own))
+        return;
+    std::erase_if(object.reservations, isStaleOwn);
+    if (!makeRoom(object, *this))
+        return;
+    const Core::Term term = object.grant(termSeen_);
+    object.reservations.push_back({.term = term,
+                                   .node = self_.name,
+                                   .incarnation = self_.incarnation,
+                                   .dataCentre = self_.dataCentre,
+                                   .nonce = reservationNonce_});
+}
+
+bool TermReservation::makeRoom(TermObject &object, const TermReservation &view)
+{
+    std::erase_if(object.reservations, [&](const Reservation &entry) {
+        return !view.isHolder(entry.node) || entry.term <= object.current.term;
+    });
+    return object.reservations.size() < view.policy_.reservations;
+}
+
+void TermReservation::editPublication(TermObject &object) const
+{
+    if (publication_ && publication_->term > object.current.term)
+        object.current = *publication_;
+}
+
+void TermReservation::editOwnership(TermObject &object) const
+{
+    if (!ownership_ || ownership_->since != 0)
+        return;
+    OwnerChange change = *ownership_;
+    change.since = object.grant(termSeen_);
+    object.owners.push_back(change);
+    trim(object.owners);
+}
+
+void TermReservation::adopt(const Platform::Object &found)
+{
+    auto parsed = TermObject::fromJson(found.value);
+    // An object that can't be read is replaced by what this node knows.
+    if (!parsed)
+        parsed = object_.value_or(TermObject{.owners = {{.owner = group_.owner}}});
+    adopt(std::move(*parsed), found.version);
+}
+
+void TermReservation::adopt(TermObject found, Platform::Version version)
+{
+    if (object_ && version < version_)
+        found = keepingHighest(std::move(found), *object_);
+    object_ = std::move(found);
+    version_ = version;
+    succeeded();
+    recogniseOwn();
+}
+
+void TermReservation::recogniseOwn()
+{
+    const Reservation *entry = object_->reservationOf(self_.name);
+    if (entry != nullptr && entry->nonce == reservationNonce_)
+        own_ = *entry;
+    if (!ownership_)
+        return;
+    for (const auto &change : object_->owners) {
+        if (change.nonce == ownership_->nonce)
+            ownership_ = change;
+    }
+}
+
+void TermReservation::failed(Core::Instant now)
+{
+    // The write may have taken effect; only a new read tells.
+    isCalling_ = false;
+    put_.reset();
+    isFresh_ = false;
+    const std::int64_t doublings = std::min(failures_, maximumDoublings);
+    ++failures_;
+    const Core::Duration backoff = std::min(policy_.platformRetry * (std::int64_t{1} << doublings),
+                                            policy_.platformRetryLimit);
+    const auto jitter = random_.below(static_cast<std::uint64_t>(backoff.milliseconds()) + 1);
+    notBefore_ = now + backoff / 2 + Core::Duration(static_cast<std::int64_t>(jitter)) / 2;
+}
+
+void TermReservation::succeeded()
+{
+    isFresh_ = true;
+    failures_ = 0;
+}
+
+} // namespace Chervilpin::Failover
