--- /dev/null
+++ b/Libraries/Allotment/Codec.cpp
@@ -0,0 +1,160 @@
+#include <Allotment/Codec.h>
+
+#include <allotment.pb.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Allotment {
+
+namespace Wire = chervilpin::allotment;
+
+namespace {
+
+constexpr int mostEntries = 4096;
+constexpr std::int64_t largestAmount = 1'000'000'000'000;
+
+Core::ErrorOr<Message> malformed(const char *why)
+{
+    return Core::failure(Core::ErrorCode::InvalidArgument, why);
+}
+
+bool isAmount(std::int64_t value)
+{
+    return value >= 0 && value <= largestAmount;
+}
+
+void write(const ShareId &share, Wire::ShareId *to)
+{
+    to->set_shard(share.shard);
+    to->set_index(share.index);
+}
+
+ShareId read(const Wire::ShareId &share)
+{
+    return {share.shard(), share.index()};
+}
+
+void write(const Ask &ask, Wire::Message &message)
+{
+    Wire::Ask *to = message.mutable_ask();
+    write(ask.share, to->mutable_share());
+    to->set_ask_id(ask.askId);
+    for (const AskEntry &entry : ask.entries) {
+        Wire::AskEntry *entryTo = to->add_entries();
+        entryTo->set_resource(entry.resource.value());
+        entryTo->set_held(entry.held);
+        entryTo->set_returned(entry.returned);
+        entryTo->set_urgent(entry.urgent);
+        entryTo->set_ahead(entry.ahead);
+        entryTo->set_demand(entry.demand);
+        entryTo->set_held_epoch(entry.heldEpoch);
+    }
+}
+
+void write(const Grant &grant, Wire::Message &message)
+{
+    Wire::Grant *to = message.mutable_grant();
+    write(grant.share, to->mutable_share());
+    to->set_ask_id(grant.askId);
+    to->set_epoch(grant.epoch);
+    for (const GrantEntry &entry : grant.entries) {
+        Wire::GrantEntry *entryTo = to->add_entries();
+        entryTo->set_resource(entry.resource.value());
+        entryTo->set_added(entry.added);
+        entryTo->set_recalled(entry.recalled);
+        entryTo->set_level(entry.level);
+        entryTo->set_retry_after_ms(entry.retryAfter.milliseconds());
+    }
+}
+
+void write(const Redirect &redirect, Wire::Message &message)
+{
+    Wire::Redirect *to = message.mutable_redirect();
+    write(redirect.share, to->mutable_share());
+    to->set_ask_id(redirect.askId);
+    to->set_owner(redirect.owner.value());
+}
+
+Core::ErrorOr<Message> read(const Wire::Ask &from)
+{
+    if (from.entries_size() > mostEntries)
+        return malformed("too many entries in an ask");
+    Ask ask{read(from.share()), from.ask_id(), {}};
+    for (const Wire::AskEntry &entry : from.entries()) {
+        const bool isValid = isAmount(entry.held()) && isAmount(entry.returned())
+            && isAmount(entry.urgent()) && isAmount(entry.ahead()) && isAmount(entry.demand());
+        if (!isValid)
+            return malformed("an amount in an ask is out of range");
+        ask.entries.push_back({ResourceName(entry.resource()), entry.held(), entry.returned(),
+                               entry.urgent(), entry.ahead(), entry.demand(), entry.held_epoch()});
+    }
+    return Message(std::move(ask));
+}
+
+Core::ErrorOr<Message> read(const Wire::Grant &from)
+{
+    if (from.entries_size() > mostEntries)
+        return malformed("too many entries in a grant");
+    Grant grant{read(from.share()), from.ask_id(), from.epoch(), {}};
+    for (const Wire::GrantEntry &entry : from.entries()) {
+        const bool isValid = isAmount(entry.added()) && isAmount(entry.recalled())
+            && isAmount(entry.level()) && isAmount(entry.retry_after_ms());
+        if (!isValid)
+            return malformed("an amount in a grant is out of range");
+        grant.entries.push_back({ResourceName(entry.resource()), entry.added(), entry.recalled(),
+                                 entry.level(), Core::Duration(entry.retry_after_ms())});
+    }
+    return Message(std::move(grant));
+}
+
+} // namespace
+
+std::string Codec::encode(const Message &message)
+{
+    Wire::Message wire;
+    std::visit([&wire](const auto &body) { write(body, wire); }, message);
+    return wire.SerializeAsString();
+}
+
+std::string Codec::encode(const Claim &claim)
+{
+    Wire::Claim wire;
+    wire.set_owner(claim.owner.value());
+    wire.set_incarnation(claim.incarnation);
+    wire.set_epoch(claim.epoch);
+    wire.set_serial(claim.serial);
+    wire.set_released(claim.isReleased);
+    return wire.SerializeAsString();
+}
+
+Core::ErrorOr<Message> Codec::decodeMessage(std::string_view payload)
+{
+    Wire::Message wire;
+    if (!wire.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
+        return malformed("not an allotment message");
+    switch (wire.body_case()) {
+    case Wire::Message::kAsk:
+        return read(wire.ask());
+    case Wire::Message::kGrant:
+        return read(wire.grant());
+    case Wire::Message::kRedirect:
+        return Message(Redirect{read(wire.redirect().share()), wire.redirect().ask_id(),
+                                Core::NodeName(wire.redirect().owner())});
+    case Wire::Message::BODY_NOT_SET:
+        break;
+    }
+    return malformed("an allotment message without a body");
+}
+
+Core::ErrorOr<Claim> Codec::decodeClaim(std::string_view value)
+{
+    Wire::Claim wire;
+    if (!wire.ParseFromArray(value.data(), static_cast<int>(value.size())))
+        return Core::failure(Core::ErrorCode::InvalidArgument, "not a claim of a share");
+    if (wire.owner().empty())
+        return Core::failure(Core::ErrorCode::InvalidArgument, "a claim without an owner");
+    return Claim{Core::NodeName(wire.owner()), wire.incarnation(), wire.epoch(), wire.serial(),
+                 wire.released()};
+}
+
+} // namespace Chervilpin::Allotment
--- /dev/null
+++ b/Libraries/Allotment/Ledger.cpp
@@ -0,0 +1,253 @@
+#include <Allotment/Ledger.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Allotment {
+
+namespace {
+
+constexpr std::int64_t millisecondsPerSecond = 1000;
+
+} // namespace
+
+Ledger::Ledger(const Options &options, ShareId share, Epoch epoch, LedgerStart start,
+               Core::Instant since)
+    : options_(options)
+    , share_(share)
+    , epoch_(epoch)
+    , start_(start)
+    , since_(since)
+{ }
+
+Core::Duration Ledger::lifetimeOf(const Account &account) const
+{
+    return account.limit.kind == ResourceKind::Consumable ? options_.tokenLifetime
+                                                          : options_.connectionLifetime;
+}
+
+MicroUnits Ledger::room(const Account &account) const
+{
+    const std::int64_t counted = options_.guards.ownerCountsGranted ? account.granted : 0;
+    const std::int64_t units = account.limit.capacity - counted - account.inherited;
+    return std::max<MicroUnits>(units * microUnitsPerUnit - account.level, 0);
+}
+
+void Ledger::setLimits(std::span<const ResourceLimit> limits, Core::Instant now)
+{
+    std::map<ResourceName, Account> next;
+    for (const ResourceLimit &limit : limits) {
+        const auto found = accounts_.find(limit.name);
+        if (found != accounts_.end()) {
+            Account account = std::move(found->second);
+            settle(account, now);
+            account.limit = limit;
+            // A lowered limit takes effect on what is not granted yet.
+            const std::int64_t free =
+                std::max<std::int64_t>(limit.capacity - account.granted - account.inherited, 0);
+            account.level = std::min(account.level, free * microUnitsPerUnit);
+            next.emplace(limit.name, std::move(account));
+            continue;
+        }
+        Account account;
+        account.limit = limit;
+        account.createdAt = now;
+        const Core::Instant lapse = since_ + options_.stretched(lifetimeOf(account));
+        const bool mayBeOut = start_ == LedgerStart::Successor && options_.guards.successorWaits;
+        if (mayBeOut && now < lapse) {
+            account.inherited = limit.capacity;
+            account.inheritedUntil = lapse;
+        } else {
+            account.level = limit.capacity * microUnitsPerUnit;
+        }
+        next.emplace(limit.name, std::move(account));
+    }
+    accounts_ = std::move(next);
+}
+
+void Ledger::create(Account &account, Core::Instant now) const
+{
+    if (account.limit.kind == ResourceKind::Returnable) {
+        account.level += room(account);
+        return;
+    }
+    const std::int64_t elapsed =
+        std::max<std::int64_t>((now - account.createdAt).milliseconds(), 0);
+    account.createdAt = std::max(account.createdAt, now);
+    const MicroUnits most = room(account);
+    // Bounds the product below; a span this long fills the share in any case.
+    const std::int64_t fillTime = account.limit.ratePerSecond == 0
+        ? 0
+        : most / std::max<std::int64_t>(account.limit.ratePerSecond / millisecondsPerSecond, 1) + 1;
+    const std::int64_t counted = std::min(elapsed, fillTime);
+    const std::int64_t total = account.limit.ratePerSecond * counted + account.createdRemainder;
+    account.createdRemainder = total % millisecondsPerSecond;
+    account.level += std::min(most, total / millisecondsPerSecond);
+}
+
+void Ledger::endInheritance(Account &account)
+{
+    account.inherited = 0;
+    account.inheritedUntil = Core::Instant();
+}
+
+void Ledger::forget(Account &account, std::map<HolderName, Record>::iterator record) const
+{
+    account.granted -= record->second.granted;
+    account.demand -= record->second.demand;
+    account.records.erase(record);
+}
+
+void Ledger::settle(Account &account, Core::Instant now) const
+{
+    // Room that a lapse makes may be filled only from then on, so lapses are taken in their order.
+    while (true) {
+        auto first = account.records.end();
+        Core::Instant firstAt = now;
+        for (auto record = account.records.begin(); record != account.records.end(); ++record) {
+            if (record->second.lapsesAt > firstAt)
+                continue;
+            first = record;
+            firstAt = record->second.lapsesAt;
+        }
+        const bool inheritanceEnds = account.inherited > 0 && account.inheritedUntil <= firstAt;
+        if (inheritanceEnds) {
+            create(account, account.inheritedUntil);
+            endInheritance(account);
+            continue;
+        }
+        if (first == account.records.end())
+            break;
+        create(account, firstAt);
+        forget(account, first);
+    }
+    create(account, now);
+}
+
+void Ledger::acceptReport(Account &account, Record &record, const AskEntry &entry)
+{
+    if (entry.heldEpoch != epoch_ && entry.heldEpoch != 0 && entry.held > record.granted) {
+        // Units of an earlier owner are adopted: they move from the inherited to this holder.
+        account.inherited -= std::min(account.inherited, entry.held - record.granted);
+    }
+    // What a holder returns exists only as far as it was counted as granted to it. This bound makes
+    // an ask harmless that was delayed beyond all memory of its sender.
+    const std::int64_t counted = record.granted - entry.held;
+    const std::int64_t returned =
+        std::clamp<std::int64_t>(entry.returned, 0, std::max<std::int64_t>(counted, 0));
+    account.granted += entry.held - record.granted;
+    record.granted = entry.held;
+    if (account.limit.kind == ResourceKind::Consumable)
+        account.level += std::min(returned * microUnitsPerUnit, room(account));
+    account.demand += entry.demand - record.demand;
+    record.demand = entry.demand;
+}
+
+std::int64_t Ledger::grant(Account &account, Record &record, const AskEntry &entry) const
+{
+    const std::int64_t urgent = std::min(entry.urgent, account.level / microUnitsPerUnit);
+    account.level -= urgent * microUnitsPerUnit;
+    // Stock is given from the upper half only, and by demand, so that one holder's expectations
+    // never take what another needs at once.
+    const std::int64_t spare = account.level / microUnitsPerUnit / 2;
+    const std::int64_t wholeDemand = std::max<std::int64_t>(account.demand, 1);
+    const double part = static_cast<double>(entry.demand) / static_cast<double>(wholeDemand);
+    const auto ahead =
+        std::min(entry.ahead, static_cast<std::int64_t>(static_cast<double>(spare) * part));
+    account.level -= ahead * microUnitsPerUnit;
+    const std::int64_t added = urgent + ahead;
+    record.granted += added;
+    record.unmet = entry.urgent - urgent;
+    account.granted += added;
+    return added;
+}
+
+std::int64_t Ledger::recall(const Account &account, const Record &record) const
+{
+    if (account.limit.kind == ResourceKind::Consumable)
+        return 0;
+    std::int64_t unmet = 0;
+    for (const auto &[holder, other] : account.records)
+        unmet += other.unmet;
+    if (unmet == 0 || record.unmet > 0)
+        return 0;
+    const std::int64_t wholeDemand = std::max<std::int64_t>(account.demand, 1);
+    const std::int64_t fair =
+        std::max<std::int64_t>(account.limit.capacity * record.demand / wholeDemand, 1);
+    return std::clamp<std::int64_t>(record.granted - fair, 0, unmet);
+}
+
+Core::Duration Ledger::retryAfter(const Account &account) const
+{
+    if (account.limit.kind == ResourceKind::Returnable)
+        return options_.reportInterval;
+    const std::int64_t perMillisecond =
+        std::max<std::int64_t>(account.limit.ratePerSecond / millisecondsPerSecond, 1);
+    const MicroUnits missing = std::max<MicroUnits>(microUnitsPerUnit - account.level, 0);
+    return Core::Duration(missing / perMillisecond + 1);
+}
+
+GrantEntry Ledger::answerEntry(const HolderName &holder, const AskEntry &entry, Core::Instant now)
+{
+    const auto found = accounts_.find(entry.resource);
+    if (found == accounts_.end())
+        return GrantEntry{entry.resource, 0, 0, 0, options_.tokenLifetime};
+    Account &account = found->second;
+    settle(account, now);
+    Record &record = account.records[holder];
+    acceptReport(account, record, entry);
+    create(account, now);
+    const std::int64_t added = grant(account, record, entry);
+    record.lapsesAt = now + options_.stretched(lifetimeOf(account));
+    const std::int64_t recalled = recall(account, record);
+    const std::int64_t left = account.level / microUnitsPerUnit;
+    const Core::Duration retry = left > 0 ? Core::Duration() : retryAfter(account);
+    const bool isEmpty = record.granted == 0 && record.unmet == 0 && record.demand == 0;
+    if (isEmpty)
+        forget(account, account.records.find(holder));
+    return GrantEntry{entry.resource, added, recalled, left, retry};
+}
+
+std::optional<Grant> Ledger::answer(const HolderName &holder, const Ask &ask, Core::Instant now)
+{
+    std::uint64_t &latest = latestAsk_[holder];
+    if (options_.guards.ownerDedupes && ask.askId <= latest)
+        return std::nullopt;
+    latest = std::max(latest, ask.askId);
+    Grant grant{share_, ask.askId, epoch_, {}};
+    for (const AskEntry &entry : ask.entries)
+        grant.entries.push_back(answerEntry(holder, entry, now));
+    return grant;
+}
+
+void Ledger::tick(Core::Instant now)
+{
+    for (auto &[name, account] : accounts_)
+        settle(account, now);
+    std::erase_if(latestAsk_, [this](const auto &entry) {
+        return std::ranges::none_of(accounts_, [&entry](const auto &account) {
+            return account.second.records.contains(entry.first);
+        });
+    });
+}
+
+MicroUnits Ledger::level(const ResourceName &resource) const
+{
+    const auto found = accounts_.find(resource);
+    return found == accounts_.end() ? 0 : found->second.level;
+}
+
+std::int64_t Ledger::granted(const ResourceName &resource) const
+{
+    const auto found = accounts_.find(resource);
+    return found == accounts_.end() ? 0 : found->second.granted + found->second.inherited;
+}
+
+std::size_t Ledger::recordCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, account] : accounts_)
+        count += account.records.size();
+    return count;
+}
+
+} // namespace Chervilpin::Allotment
--- /dev/null
+++ b/Libraries/Allotment/Manager.cpp
@@ -0,0 +1,307 @@
+#include <Allotment/Manager.h>
+
+#include <Allotment/Codec.h>
+
+namespace Chervilpin::Allotment {
+
+namespace {
+
+constexpr Core::Duration cedeInterval{60'000};
+
+} // namespace
+
+Core::ErrorOr<std::unique_ptr<Manager>> Manager::create(HolderName self, const Options &options)
+{
+    constexpr std::size_t mostShares = 64; // A holder keeps a bit for each.
+    if (self.node.isEmpty())
+        return Core::failure(Core::ErrorCode::InvalidArgument, "a node needs a name");
+    if (options.shards == 0 || options.shares.empty() || options.shares.size() > mostShares)
+        return Core::failure(Core::ErrorCode::InvalidArgument, "no shares, or too many");
+    return std::unique_ptr<Manager>(new Manager(std::move(self), options));
+}
+
+Manager::Manager(HolderName self, const Options &options)
+    : self_(std::move(self))
+    , options_(options)
+    , table_(options)
+    , holder_(options, table_)
+{
+    for (std::uint32_t shard = 0; shard < table_.shardCount(); ++shard) {
+        for (std::uint32_t index = 0; index < table_.shareCount(); ++index) {
+            const ShareId share{shard, index};
+            shares_.emplace(share, OwnedShare{OwnerElection(options, share, self_), nullptr, 0});
+        }
+    }
+}
+
+void Manager::setLimits(std::span<const ResourceLimit> limits, Core::Instant now)
+{
+    limits_.assign(limits.begin(), limits.end());
+    holder_.setLimits(limits);
+    for (auto &[share, owned] : shares_) {
+        if (owned.ledger != nullptr)
+            giveLimits(*owned.ledger, share, now);
+    }
+}
+
+void Manager::giveLimits(Ledger &ledger, ShareId share, Core::Instant now) const
+{
+    std::vector<ResourceLimit> parts;
+    for (const ResourceLimit &limit : limits_) {
+        if (table_.shardOf(limit.name) == share.shard)
+            parts.push_back(table_.part(limit, share.index));
+    }
+    ledger.setLimits(parts, now);
+}
+
+void Manager::setMembers(std::span<const Core::NodeName> members, Core::Instant now)
+{
+    table_.setMembers(members);
+    updateCandidacies(now);
+}
+
+void Manager::updateCandidacies(Core::Instant now)
+{
+    for (auto &[share, owned] : shares_) {
+        Candidacy candidacy = Candidacy::None;
+        if (!isLeaving_ && table_.candidate(share, 0) == self_.node)
+            candidacy = Candidacy::First;
+        else if (!isLeaving_ && table_.candidate(share, 1) == self_.node)
+            candidacy = Candidacy::Standby;
+        owned.election.setCandidacy(candidacy, now);
+    }
+}
+
+TakeResult Manager::tryTake(const ResourceName &resource, std::int64_t amount,
+                            Core::Instant deadline, Core::Instant now)
+{
+    return holder_.take(resource, amount, deadline, now);
+}
+
+void Manager::cancel(TicketId ticket)
+{
+    holder_.cancel(ticket);
+}
+
+void Manager::setUse(const ResourceName &resource, std::int64_t wanted, std::int64_t inUse)
+{
+    holder_.setUse(resource, isLeaving_ ? 0 : wanted, inUse);
+}
+
+std::int64_t Manager::share(const ResourceName &resource, Core::Instant now) const
+{
+    return holder_.share(resource, now);
+}
+
+Ledger *Manager::ledgerOf(ShareId share, Core::Instant now, std::vector<Action> &actions)
+{
+    const auto found = shares_.find(share);
+    if (found == shares_.end())
+        return nullptr;
+    OwnedShare &owned = found->second;
+    const bool isOwner = owned.election.isOwner(now);
+    const bool isStale =
+        owned.ledger != nullptr && (!isOwner || owned.ledger->epoch() != owned.election.epoch());
+    if (isStale) {
+        actions.emplace_back(OwnershipChanged{share, owned.ledger->epoch(), false});
+        owned.ledger.reset();
+    }
+    if (!isOwner)
+        return nullptr;
+    if (owned.ledger == nullptr) {
+        const LedgerStart start =
+            owned.election.isFirstOwner() ? LedgerStart::FirstOwner : LedgerStart::Successor;
+        owned.ledger =
+            std::make_unique<Ledger>(options_, share, owned.election.epoch(), start, now);
+        giveLimits(*owned.ledger, share, now);
+        actions.emplace_back(OwnershipChanged{share, owned.election.epoch(), true});
+    }
+    return owned.ledger.get();
+}
+
+Message Manager::answerTo(const HolderName &holder, const Ask &ask, Core::Instant now,
+                          std::vector<Action> &actions)
+{
+    Ledger *ledger = ledgerOf(ask.share, now, actions);
+    if (ledger != nullptr) {
+        std::optional<Grant> grant = ledger->answer(holder, ask, now);
+        if (grant.has_value())
+            return std::move(*grant);
+        // A doubled or late ask: its sender heeds no answer to it any more.
+        return Redirect{ask.share, ask.askId, self_.node};
+    }
+    const auto found = shares_.find(ask.share);
+    Core::NodeName owner;
+    if (found != shares_.end())
+        owner = found->second.election.knownOwner();
+    if (owner == self_.node)
+        owner = Core::NodeName();
+    return Redirect{ask.share, ask.askId, owner};
+}
+
+void Manager::send(const Core::NodeName &to, const Message &message, std::vector<Action> &actions)
+{
+    Peer::Outgoing outgoing{to, Peer::MessageKind::Allotment, Codec::encode(message)};
+    actions.emplace_back(SendToPeer{std::move(outgoing)});
+}
+
+bool Manager::answerOwn(const AddressedAsk &ask, Core::Instant now, std::vector<Action> &actions)
+{
+    if (ask.to != self_.node)
+        return false;
+    const Message answer = answerTo(self_, ask.ask, now, actions);
+    if (const auto *grant = std::get_if<Grant>(&answer))
+        holder_.granted(*grant, now);
+    else if (const auto *redirect = std::get_if<Redirect>(&answer))
+        holder_.redirected(*redirect, now);
+    return true;
+}
+
+void Manager::perform(HolderActions held, Core::Instant now, std::vector<Action> &actions)
+{
+    // An ask to this very node is answered at once, which may lead to the next one; each such round
+    // uses up a share.
+    for (std::uint32_t round = 0; round <= table_.shareCount(); ++round) {
+        bool wasOwn = false;
+        for (const Decision &decision : held.decisions)
+            actions.emplace_back(decision);
+        for (const AddressedAsk &ask : held.asks) {
+            if (answerOwn(ask, now, actions))
+                wasOwn = true;
+            else
+                send(ask.to, ask.ask, actions);
+        }
+        if (!wasOwn)
+            return;
+        held = holder_.flush(now);
+    }
+    for (const Decision &decision : held.decisions)
+        actions.emplace_back(decision);
+    for (const AddressedAsk &ask : held.asks)
+        send(ask.to, ask.ask, actions);
+}
+
+std::vector<Action> Manager::peerMessage(const Peer::Incoming &incoming, Core::Instant now)
+{
+    std::vector<Action> actions;
+    const auto message = Codec::decodeMessage(incoming.payload);
+    if (!message.has_value())
+        return actions;
+    if (const auto *ask = std::get_if<Ask>(&*message)) {
+        const HolderName holder{incoming.from, incoming.incarnation};
+        send(incoming.from, answerTo(holder, *ask, now, actions), actions);
+        return actions;
+    }
+    if (const auto *grant = std::get_if<Grant>(&*message))
+        holder_.granted(*grant, now);
+    else if (const auto *redirect = std::get_if<Redirect>(&*message))
+        holder_.redirected(*redirect, now);
+    perform(holder_.flush(now), now, actions);
+    return actions;
+}
+
+std::vector<Action> Manager::platformReply(const Platform::Reply &reply, Core::Instant now)
+{
+    std::vector<Action> actions;
+    for (auto &[share, owned] : shares_) {
+        if (owned.callUnderWay != reply.id || reply.id == 0)
+            continue;
+        owned.callUnderWay = 0;
+        owned.election.reply(reply.body, now);
+        ledgerOf(share, now, actions);
+    }
+    tickElections(now, actions);
+    return actions;
+}
+
+void Manager::tickElections(Core::Instant now, std::vector<Action> &actions)
+{
+    for (auto &[share, owned] : shares_) {
+        ledgerOf(share, now, actions);
+        std::optional<Platform::CallBody> call = owned.election.tick(now);
+        if (!call.has_value())
+            continue;
+        owned.callUnderWay = nextCall_++;
+        actions.emplace_back(CallPlatform{{owned.callUnderWay, std::move(*call)}});
+    }
+}
+
+void Manager::cedeSurplus(Core::Instant now)
+{
+    if (now < mayCedeAt_)
+        return;
+    mayCedeAt_ = now + cedeInterval;
+    std::map<std::uint32_t, std::uint32_t> ownedInShard;
+    for (const auto &[share, owned] : shares_)
+        ownedInShard[share.shard] += owned.election.isOwner(now) ? 1 : 0;
+    for (auto &[share, owned] : shares_) {
+        if (!owned.election.isOwner(now) || ownedInShard[share.shard] < 2)
+            continue;
+        const Core::NodeName first = table_.candidate(share, 0);
+        if (first.isEmpty() || first == self_.node)
+            continue;
+        owned.election.release(now);
+        --ownedInShard[share.shard];
+    }
+}
+
+std::vector<Action> Manager::tick(Core::Instant now)
+{
+    std::vector<Action> actions;
+    cedeSurplus(now);
+    tickElections(now, actions);
+    for (auto &[share, owned] : shares_) {
+        if (owned.ledger != nullptr)
+            owned.ledger->tick(now);
+    }
+    perform(holder_.tick(now), now, actions);
+    return actions;
+}
+
+std::vector<Action> Manager::flush(Core::Instant now)
+{
+    std::vector<Action> actions;
+    perform(holder_.flush(now), now, actions);
+    return actions;
+}
+
+void Manager::leave(Core::Instant now)
+{
+    isLeaving_ = true;
+    holder_.leave();
+    updateCandidacies(now);
+    for (auto &[share, owned] : shares_)
+        owned.election.release(now);
+}
+
+bool Manager::isLeft(Core::Instant now) const
+{
+    for (const auto &[share, owned] : shares_) {
+        if (!owned.election.isReleased())
+            return false;
+    }
+    return isLeaving_ && holder_.isEmpty(now);
+}
+
+std::int64_t Manager::held(const ResourceName &resource, Core::Instant now) const
+{
+    return holder_.held(resource, now);
+}
+
+bool Manager::isOwner(ShareId share, Core::Instant now) const
+{
+    const auto found = shares_.find(share);
+    return found != shares_.end() && found->second.election.isOwner(now);
+}
+
+MicroUnits Manager::ownedLevel(const ResourceName &resource, Core::Instant now) const
+{
+    MicroUnits sum = 0;
+    for (const auto &[share, owned] : shares_) {
+        if (owned.ledger != nullptr && owned.election.isOwner(now))
+            sum += owned.ledger->level(resource);
+    }
+    return sum;
+}
+
+} // namespace Chervilpin::Allotment
--- /dev/null
+++ b/Libraries/Allotment/Messages.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <Allotment/Resource.h>
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Peer/Message.h>
+
+#include <compare>
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace Chervilpin::Allotment {
+
+/// Grows with each change of a share's owner.
+using Epoch = std::uint64_t;
+
+/// Names one part of the limits of one shard.
+struct ShareId
+{
+    std::uint32_t shard = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const ShareId &) const = default;
+};
+
+/// One life of a node. A restarted node holds nothing that the earlier life held.
+struct HolderName
+{
+    Core::NodeName node;
+    Peer::Incarnation incarnation = 0;
+
+    auto operator<=>(const HolderName &) const = default;
+};
+
+struct AskEntry
+{
+    ResourceName resource;
+    std::int64_t held = 0;     ///< Units still held from this share, without `returned`.
+    std::int64_t returned = 0; ///< Units handed back by this message.
+    std::int64_t urgent = 0;   ///< Units that something waits for now.
+    std::int64_t ahead = 0;    ///< Units for the demand expected next.
+    std::int64_t demand = 0;   ///< Thousandths of a unit per second, or wanted connections.
+    Epoch heldEpoch = 0;       ///< The owner's epoch under which `held` was granted.
+};
+
+/// From a holder to a share's owner. It voids all answers to the holder's earlier asks.
+struct Ask
+{
+    ShareId share;
+    std::uint64_t askId = 0; ///< Grows with each ask of one life to one share.
+    std::vector<AskEntry> entries;
+};
+
+struct GrantEntry
+{
+    ResourceName resource;
+    std::int64_t added = 0;
+    std::int64_t recalled = 0; ///< Units that the holder is to hand back when it can.
+    std::int64_t level = 0;    ///< Whole units left with the owner.
+    Core::Duration retryAfter; ///< When one unit is expected to be there, if level is 0.
+};
+
+/// The owner's answer to one ask.
+struct Grant
+{
+    ShareId share;
+    std::uint64_t askId = 0;
+    Epoch epoch = 0;
+    std::vector<GrantEntry> entries;
+};
+
+/// The answer of a node that doesn't own the share.
+struct Redirect
+{
+    ShareId share;
+    std::uint64_t askId = 0;
+    Core::NodeName owner; ///< Empty if it isn't known.
+};
+
+using Message = std::variant<Ask, Grant, Redirect>;
+
+/// The value of the platform's object of a share.
+struct Claim
+{
+    Core::NodeName owner;
+    Peer::Incarnation incarnation = 0;
+    Epoch epoch = 0;
+    std::uint64_t serial = 0; ///< Grows with each write of one life; recognises a lost answer.
+    bool isReleased = false;  ///< The owner gave the share back.
+
+    bool operator==(const Claim &) const = default;
+};
+
+} // namespace Chervilpin::Allotment
