Trace context in a library of its own

Cause: the engine needs trace identities, but must not depend on the library that writes files and logs.

--- a/Services/Proxy/ActionRunner.h
+++ b/Services/Proxy/ActionRunner.h
@@ -4,7 +4,7 @@
 #include <Engine/Engine.h>
 #include <Http/Server.h>
 #include <Observe/Metrics.h>
-#include <Observe/Trace.h>
+#include <Observe/SpanWriter.h>
 #include <Services/Proxy/DatabaseConnection.h>
 #include <Services/Proxy/PeerTransport.h>
 #include <Services/Proxy/PlatformClient.h>
