--- /dev/null
+++ b/Libraries/Membership/ByteBudget.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace Chervilpin::Membership {
+
+/// A token bucket over bytes.
+class ByteBudget
+{
+public:
+    ByteBudget(std::uint32_t bytesPerSecond, std::uint32_t burst)
+        : bytesPerSecond_(bytesPerSecond)
+        , burstMillibytes_(burst * millibytesPerByte)
+        , millibytes_(burstMillibytes_)
+    { }
+
+    void refill(Core::Instant now)
+    {
+        const std::int64_t elapsed = std::max<std::int64_t>((now - refilledAt_).milliseconds(), 0);
+        refilledAt_ = now;
+        const std::int64_t capped = std::min(elapsed, maxRefillMilliseconds);
+        millibytes_ = std::min(burstMillibytes_, millibytes_ + capped * bytesPerSecond_);
+    }
+
+    [[nodiscard]] std::int64_t bytes() const { return millibytes_ / millibytesPerByte; }
+    /// Whether less than half is left, so that only what is needed should be sent.
+    [[nodiscard]] bool isLow() const { return millibytes_ < burstMillibytes_ / 2; }
+
+    /// Takes that many bytes if they are there.
+    [[nodiscard]] bool spend(std::int64_t bytes)
+    {
+        if (millibytes_ < bytes * millibytesPerByte)
+            return false;
+        millibytes_ -= bytes * millibytesPerByte;
+        return true;
+    }
+
+private:
+    static constexpr std::int64_t millibytesPerByte = 1'000;
+    static constexpr std::int64_t maxRefillMilliseconds = 60'000;
+
+    std::int64_t bytesPerSecond_ = 0;
+    std::int64_t burstMillibytes_ = 0;
+    std::int64_t millibytes_ = 0;
+    Core::Instant refilledAt_;
+};
+
+} // namespace Chervilpin::Membership
--- /dev/null
+++ b/Libraries/Membership/Heartbeat.cpp
@@ -0,0 +1,105 @@
+#include <Membership/Heartbeat.h>
+
+#include <membership.pb.h>
+
+namespace Chervilpin::Membership {
+
+namespace {
+
+namespace wire = chervilpin::membership;
+
+void fill(wire::Update &encoded, const Update &update)
+{
+    encoded.set_name(update.name.value());
+    encoded.set_incarnation(update.age.incarnation);
+    encoded.set_refutation(update.age.refutation);
+    encoded.set_health(static_cast<wire::Health>(update.health));
+    encoded.set_is_leaving(update.isLeaving);
+    encoded.set_data_centre(update.dataCentre.value());
+    encoded.set_peer_address(update.peerAddress);
+}
+
+Core::ErrorOr<Update> read(const wire::Update &encoded)
+{
+    const bool isSensible = !encoded.name().empty() && encoded.incarnation() != 0
+        && wire::Health_IsValid(encoded.health());
+    if (!isSensible)
+        return Core::failure(Core::ErrorCode::InvalidArgument, "an update without name or life");
+    return Update{Core::NodeName(encoded.name()),
+                  {encoded.incarnation(), encoded.refutation()},
+                  static_cast<Health>(encoded.health()),
+                  encoded.is_leaving(),
+                  Core::DataCentreName(encoded.data_centre()),
+                  encoded.peer_address()};
+}
+
+void fill(wire::Summary &encoded, const Summary &summary)
+{
+    encoded.set_data_centre(summary.dataCentre.value());
+    encoded.set_aggregator(summary.aggregator.value());
+    encoded.set_incarnation(summary.incarnation);
+    encoded.set_sequence(summary.sequence);
+    for (const RevisionCount &count : summary.counts) {
+        auto *entry = encoded.add_counts();
+        entry->set_revision(count.revision);
+        entry->set_members(count.members);
+    }
+    for (const Laggard &laggard : summary.laggards) {
+        auto *entry = encoded.add_laggards();
+        entry->set_name(laggard.name.value());
+        entry->set_revision(laggard.revision);
+    }
+}
+
+Summary read(const wire::Summary &encoded)
+{
+    Summary summary{Core::DataCentreName(encoded.data_centre()),
+                    Core::NodeName(encoded.aggregator()),
+                    encoded.incarnation(),
+                    encoded.sequence(),
+                    {},
+                    {}};
+    for (const auto &count : encoded.counts())
+        summary.counts.push_back({count.revision(), count.members()});
+    for (const auto &laggard : encoded.laggards())
+        summary.laggards.push_back({Core::NodeName(laggard.name()), laggard.revision()});
+    return summary;
+}
+
+} // namespace
+
+std::string encodeHeartbeat(const Heartbeat &heartbeat)
+{
+    wire::Heartbeat encoded;
+    fill(*encoded.mutable_sender(), heartbeat.sender);
+    encoded.set_configuration_revision(heartbeat.status.configurationRevision);
+    encoded.set_configuration_digest(heartbeat.status.configurationDigest);
+    for (const Update &update : heartbeat.updates)
+        fill(*encoded.add_updates(), update);
+    for (const Summary &summary : heartbeat.summaries)
+        fill(*encoded.add_summaries(), summary);
+    encoded.set_asks_for_list(heartbeat.listRole == ListRole::AsksForList);
+    encoded.set_is_list_part(heartbeat.listRole == ListRole::IsListPart);
+    return encoded.SerializeAsString();
+}
+
+Core::ErrorOr<Heartbeat> decodeHeartbeat(std::string_view payload)
+{
+    wire::Heartbeat encoded;
+    if (!encoded.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
+        return Core::failure(Core::ErrorCode::InvalidArgument, "not a heartbeat");
+    Heartbeat heartbeat;
+    heartbeat.sender = TRY(read(encoded.sender()));
+    heartbeat.status = {encoded.configuration_revision(), encoded.configuration_digest()};
+    for (const auto &update : encoded.updates())
+        heartbeat.updates.push_back(TRY(read(update)));
+    for (const auto &summary : encoded.summaries())
+        heartbeat.summaries.push_back(read(summary));
+    if (encoded.asks_for_list())
+        heartbeat.listRole = ListRole::AsksForList;
+    if (encoded.is_list_part())
+        heartbeat.listRole = ListRole::IsListPart;
+    return heartbeat;
+}
+
+} // namespace Chervilpin::Membership
--- /dev/null
+++ b/Libraries/Membership/Rank.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <Core/Name.h>
+
+#include <cstdint>
+
+namespace Chervilpin::Membership {
+
+/// The place of a node in the order by which duties named \a duty are given out. All nodes compute
+/// the same, and another duty has another order.
+[[nodiscard]] std::uint64_t rankOf(const Core::NodeName &, std::string_view duty);
+
+} // namespace Chervilpin::Membership
--- /dev/null
+++ b/Libraries/Membership/StatusBoard.cpp
@@ -0,0 +1,108 @@
+#include <Membership/StatusBoard.h>
+
+#include <Membership/Rank.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace Chervilpin::Membership {
+
+namespace {
+
+constexpr std::size_t maxCounts = 4;
+constexpr std::size_t maxLaggards = 4;
+constexpr std::string_view aggregatorDuty = "aggregator";
+
+auto orderOf(const Summary &summary)
+{
+    return std::tuple(summary.incarnation, summary.sequence);
+}
+
+} // namespace
+
+void StatusBoard::note(const Core::NodeName &name, const NodeStatus &status)
+{
+    statuses_[name] = status;
+}
+
+Core::NodeName StatusBoard::aggregator(const Core::DataCentreName &dataCentre, bool selfIsLeaving,
+                                       const MemberTable &table) const
+{
+    Core::NodeName best;
+    const auto consider = [&](const Core::NodeName &name) {
+        const bool isBetter =
+            best.isEmpty() || rankOf(name, aggregatorDuty) < rankOf(best, aggregatorDuty);
+        if (isBetter)
+            best = name;
+    };
+    if (dataCentre == settings_.dataCentre && !selfIsLeaving)
+        consider(settings_.self);
+    for (const Member &member : table.members()) {
+        if (member.dataCentre == dataCentre && member.isUsable())
+            consider(member.name);
+    }
+    return best;
+}
+
+void StatusBoard::merge(const Summary &summary, const MemberTable &table)
+{
+    if (summary.aggregator == settings_.self)
+        return;
+    const auto [place, isNew] = summaries_.try_emplace(summary.dataCentre, summary);
+    if (isNew)
+        return;
+    Summary &held = place->second;
+    const auto rightful = aggregator(summary.dataCentre, false, table);
+    const bool isSameCounter = held.aggregator == summary.aggregator;
+    const bool isNews =
+        isSameCounter ? orderOf(summary) > orderOf(held) : held.aggregator != rightful;
+    if (isNews)
+        held = summary;
+}
+
+void StatusBoard::recount(const NodeStatus &own, bool selfIsLeaving, const MemberTable &table)
+{
+    std::erase_if(statuses_, [&](const auto &entry) { return table.find(entry.first) == nullptr; });
+    if (aggregator(settings_.dataCentre, selfIsLeaving, table) != settings_.self)
+        return;
+    std::vector<Laggard> revisions{{settings_.self, own.configurationRevision}};
+    for (const Member &member : table.members()) {
+        const bool counts = member.dataCentre == settings_.dataCentre
+            && member.health != Health::Dead && member.age.incarnation != 0;
+        if (!counts)
+            continue;
+        const auto status = statuses_.find(member.name);
+        const bool isKnown = status != statuses_.end();
+        revisions.push_back({member.name, isKnown ? status->second.configurationRevision : 0});
+    }
+    std::ranges::sort(revisions, [](const Laggard &a, const Laggard &b) {
+        return std::tie(a.revision, a.name) < std::tie(b.revision, b.name);
+    });
+    Summary summary{
+        settings_.dataCentre, settings_.self, settings_.incarnation, ++sequence_, {}, {}};
+    const std::uint64_t newest = revisions.back().revision;
+    for (const Laggard &entry : revisions) {
+        if (entry.revision < newest && summary.laggards.size() < maxLaggards)
+            summary.laggards.push_back(entry);
+    }
+    for (auto entry = revisions.rbegin(); entry != revisions.rend(); ++entry) {
+        const bool isSame =
+            !summary.counts.empty() && summary.counts.back().revision == entry->revision;
+        // The last count takes in all lower revisions, so that the counts sum to the members.
+        if (isSame || summary.counts.size() == maxCounts)
+            ++summary.counts.back().members;
+        else
+            summary.counts.push_back({entry->revision, 1});
+    }
+    summaries_[settings_.dataCentre] = std::move(summary);
+}
+
+std::vector<Summary> StatusBoard::summaries() const
+{
+    std::vector<Summary> all;
+    for (const auto &[dataCentre, summary] : summaries_)
+        all.push_back(summary);
+    return all;
+}
+
+} // namespace Chervilpin::Membership
