--- a/Libraries/Configuration/Credential.cpp
+++ b/Libraries/Configuration/Credential.cpp
@@ -1,8 +1,8 @@
 #include <Configuration/Credential.h>
 
-#include <array>
+#include <Authenticate/KeyDigest.h>
+
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
 namespace Chervilpin::Configuration {
 
@@ -41,12 +41,10 @@
 
 std::optional<std::string> credentialDigest(std::string_view saltHex, std::string_view secret)
 {
-    auto input = fromHex(saltHex);
-    if (!input)
+    const auto salt = fromHex(saltHex);
+    if (!salt)
         return std::nullopt;
-    input->append(secret);
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(input->data()), input->size(), digest.data());
+    const auto digest = Authenticate::digestOf(*salt, secret);
     return toHex({reinterpret_cast<const char *>(digest.data()), digest.size()});
 }
 
--- a/Libraries/Configuration/Credential.h
+++ b/Libraries/Configuration/Credential.h
@@ -21,8 +21,8 @@
 [[nodiscard]] std::optional<Credential> parseCredential(std::string_view prefix,
                                                         std::string_view text);
 
-/// SHA-256 of the salt's bytes followed by the secret's, in hexadecimal. nullopt if the salt isn't
-/// hexadecimal.
+/// Authenticate::digestOf() of the salt's bytes and the secret, in hexadecimal. nullopt if the salt
+/// isn't hexadecimal.
 [[nodiscard]] std::optional<std::string> credentialDigest(std::string_view saltHex,
                                                           std::string_view secret);
 
--- a/Libraries/Configuration/Resource.h
+++ b/Libraries/Configuration/Resource.h
@@ -38,7 +38,7 @@
 {
     Core::TeamName team;
     std::string salt;   ///< Hexadecimal.
-    std::string digest; ///< SHA-256 of the salt's bytes and the secret, in hexadecimal.
+    std::string digest; ///< Authenticate::digestOf() of the salt's bytes and the secret, in hex.
     bool isWithdrawn = false;
 
     bool operator==(const KeySpec &) const = default;
--- a/Libraries/Engine/Engine.h
+++ b/Libraries/Engine/Engine.h
@@ -47,14 +47,14 @@
     Engine &operator=(Engine &&) = delete;
 
     void callerRequest(CallerRequest, Core::Instant now);
-    void operatorRequest(OperatorRequest, Core::Instant now);
+    void operatorRequest(const OperatorRequest &, Core::Instant now);
 
     void connectionOpened(ConnectionId, Core::Instant now);
     void connectionEnded(ConnectionId, ConnectionFailure, Core::Instant now);
     void databaseAnswer(ConnectionId, Upstream::CorrelationId, Upstream::Answer, Core::Instant now);
 
     void platformReply(Platform::Reply, Core::Instant now);
-    void peerMessage(Peer::Incoming, Core::Instant now);
+    void peerMessage(const Peer::Incoming &, Core::Instant now);
 
     /// To be called every tickInterval or so; everything that waits for a time happens here.
     void tick(Core::Instant now);
