--- a/Libraries/StandIn/DatabaseState.cpp
+++ b/Libraries/StandIn/DatabaseState.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::size_t maximumBatchEntries = 2000;
-
 bool needsPrimary(const Upstream::Statement &statement)
 {
     return statement.kind != StatementKind::Read || !statement.transaction.empty();
@@ -63,11 +61,13 @@
 void DatabaseState::raiseTerm(Core::Term term)
 {
     knownTerm_ = term;
+    pullFrom_ = lastPosition();
+    pullStep_ = 1;
+    if (!settings_.rules.stopsReplication)
+        return;
     role_ = Role::Replica;
     primary_ = {};
     primaryAddress_.clear();
-    pullFrom_ = lastPosition();
-    pullStep_ = 1;
 }
 
 Answer DatabaseState::fence(const Upstream::Fence &fence)
@@ -76,10 +76,7 @@
         return notRun(Reason::Superseded, "a higher term is known");
     // A repeated fence of the known term changes nothing, whatever followed the first one.
     if (fence.term > knownTerm_) {
-        if (settings_.rules.stopsReplication)
-            raiseTerm(fence.term);
-        else
-            knownTerm_ = fence.term;
+        raiseTerm(fence.term);
         record(lastPosition(), {});
     }
     return done();
@@ -94,7 +91,8 @@
     if (role_ == Role::Primary && lineage_ == promote.term)
         return done();
     // One term has one primary: whoever follows another in this term stays a replica.
-    if (!primary_.isEmpty() || lineage_ == promote.term)
+    const auto isFollowing = !primary_.isEmpty() && settings_.rules.stopsReplication;
+    if (isFollowing || lineage_ == promote.term)
         return notRun(Reason::NotPrimary, "follows another primary in this term");
     role_ = Role::Primary;
     primary_ = settings_.name;
@@ -109,7 +107,8 @@
     if (follow.term < knownTerm_)
         return notRun(Reason::Superseded, "a higher term is known");
     const auto isKnown = follow.term == knownTerm_;
-    if (isKnown && !primary_.isEmpty() && primary_ != follow.primary)
+    const auto isFollowing = !primary_.isEmpty() && settings_.rules.stopsReplication;
+    if (isKnown && isFollowing && primary_ != follow.primary)
         return notRun(Reason::BadStatement, "the term has another primary");
     if (follow.primary == settings_.name)
         return isKnown && role_ == Role::Primary
@@ -117,6 +116,7 @@
             : notRun(Reason::BadStatement, "a database can't follow itself");
     if (!isKnown)
         raiseTerm(follow.term);
+    role_ = Role::Replica;
     primary_ = follow.primary;
     primaryAddress_ = follow.primaryAddress;
     record(lastPosition(), {});
@@ -197,7 +197,7 @@
 
 std::size_t DatabaseState::batchEnd(Core::LogPosition after) const
 {
-    auto end = std::min<std::size_t>(after + maximumBatchEntries, log_.size());
+    auto end = std::min<std::size_t>(after + settings_.maximumBatchEntries, log_.size());
     if (!settings_.rules.reconcilesAtOnce)
         return end;
     // However long that is, a batch reaches the term's first entry; see reconcile().
@@ -295,6 +295,9 @@
 void DatabaseState::wipe()
 {
     raiseTerm(0);
+    role_ = Role::Replica;
+    primary_ = {};
+    primaryAddress_.clear();
     lineage_ = 0;
     log_.clear();
     rows_.clear();
--- a/Libraries/StandIn/DatabaseState.h
+++ b/Libraries/StandIn/DatabaseState.h
@@ -56,6 +56,7 @@
         Core::DatabaseName primary; ///< Followed at the start, if a replica.
         std::string primaryAddress;
         Journal journal = Journal::Off;
+        std::size_t maximumBatchEntries = 2000; ///< Of a batch that needn't open a term.
         DatabaseRules rules;
     };
 
