--- a/Services/PlatformStandIn/PlatformService.cpp
+++ b/Services/PlatformStandIn/PlatformService.cpp
@@ -173,7 +173,7 @@
         return errorResponse(400, "If-Version: a version is needed, 0 for a new object");
     if (!isUtf8(request.body))
         return errorResponse(400, "the value is not UTF-8");
-    const auto response = written(store_.put({keyOf(request), request.body, *expected}));
+    auto response = written(store_.put({keyOf(request), request.body, *expected}));
     wakeWatches();
     return response;
 }
@@ -183,7 +183,7 @@
     const auto expected = numberOf(request.ifVersion);
     if (!expected)
         return errorResponse(400, "If-Version: a version is needed");
-    const auto response = written(store_.erase({keyOf(request), *expected}));
+    auto response = written(store_.erase({keyOf(request), *expected}));
     wakeWatches();
     return response;
 }
--- a/Services/UpstreamStandIn/Connection.cpp
+++ b/Services/UpstreamStandIn/Connection.cpp
@@ -76,7 +76,7 @@
     return isClosed_ || isSilent_ || database_.isCut(dataCentre_);
 }
 
-void Connection::receive(Wire::ToDatabase frame)
+void Connection::receive(const Wire::ToDatabase &frame)
 {
     if (number_ == 0 || isDeaf())
         return;
--- a/Services/UpstreamStandIn/Connection.h
+++ b/Services/UpstreamStandIn/Connection.h
@@ -47,7 +47,7 @@
 
     /// Takes a place among the database's connections, or ends the stream.
     void open(const std::string &metadata);
-    void receive(Wire::ToDatabase);
+    void receive(const Wire::ToDatabase &);
     /// The stream has ended: rolls back and gives the place free.
     void close();
     /// The sink must not be used any more.
--- a/Services/UpstreamStandIn/Replicator.cpp
+++ b/Services/UpstreamStandIn/Replicator.cpp
@@ -17,6 +17,16 @@
 /// A batch of this many entries is likely not the last one.
 constexpr std::size_t longBatch = 1000;
 
+std::shared_ptr<grpc::Channel> channelTo(const std::string &address)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetMaxReceiveMessageSize(-1);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectMilliseconds);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnectMilliseconds);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnectMilliseconds);
+    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
 } // namespace
 
 Replicator::Replicator(Database &database, std::uint64_t seed)
@@ -24,6 +34,8 @@
     , random_(seed)
     , timer_(database.context())
 {
+    for (const auto &[name, peer] : database.options().peers)
+        (void)stubFor(peer.address);
     schedule();
 }
 
@@ -40,6 +52,7 @@
 {
     if (isPulling_)
         return;
+    keepConnected();
     timer_.expires_after(std::chrono::milliseconds(pauseMilliseconds()));
     timer_.async_wait([this](boost::system::error_code error) {
         if (!error)
@@ -47,18 +60,20 @@
     });
 }
 
-void Replicator::connectTo(const std::string &address)
+Replicator::Stub &Replicator::stubFor(const std::string &address)
 {
-    if (address == address_)
-        return;
-    address_ = address;
-    grpc::ChannelArguments arguments;
-    arguments.SetMaxReceiveMessageSize(-1);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectMilliseconds);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnectMilliseconds);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnectMilliseconds);
-    stub_ = ::chervilpin::upstream::Database::NewStub(
-        grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+    auto &peer = peers_[address];
+    if (!peer.stub) {
+        peer.channel = channelTo(address);
+        peer.stub = ::chervilpin::upstream::Database::NewStub(peer.channel);
+    }
+    return *peer.stub;
+}
+
+void Replicator::keepConnected()
+{
+    for (const auto &[address, peer] : peers_)
+        (void)peer.channel->GetState(true);
 }
 
 void Replicator::pull()
@@ -67,20 +82,19 @@
     const auto address = database_.state().primaryAddress();
     if (!next || address.empty() || database_.isPeerCut(database_.state().status().primary))
         return schedule();
-    connectTo(address);
     isPulling_ = true;
     auto call = std::make_shared<Call>();
     toWire(*next, call->request);
     call->context.set_deadline(std::chrono::system_clock::now() + pullTimeout);
-    stub_->async()->Pull(&call->context, &call->request, &call->response,
-                         [this, call](const grpc::Status &status) {
-                             boost::asio::post(database_.context(), [this, call, status] {
-                                 isPulling_ = false;
-                                 if (status.ok())
-                                     return receive(call->response);
-                                 schedule();
-                             });
-                         });
+    stubFor(address).async()->Pull(&call->context, &call->request, &call->response,
+                                   [this, call](const grpc::Status &status) {
+                                       boost::asio::post(database_.context(), [this, call, status] {
+                                           isPulling_ = false;
+                                           if (status.ok())
+                                               return receive(call->response);
+                                           schedule();
+                                       });
+                                   });
 }
 
 void Replicator::receive(const Wire::ReplicationBatch &response)
--- a/Services/UpstreamStandIn/Replicator.h
+++ b/Services/UpstreamStandIn/Replicator.h
@@ -5,6 +5,7 @@
 #include <Core/Random.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -30,17 +31,23 @@
         ::chervilpin::upstream::ReplicationBatch response;
     };
     using Stub = ::chervilpin::upstream::Database::Stub;
+    struct Peer
+    {
+        std::shared_ptr<grpc::Channel> channel;
+        std::unique_ptr<Stub> stub;
+    };
 
     [[nodiscard]] std::int64_t pauseMilliseconds();
     void pull();
     void receive(const ::chervilpin::upstream::ReplicationBatch &);
-    void connectTo(const std::string &address);
+    [[nodiscard]] Stub &stubFor(const std::string &address);
+    void keepConnected();
 
     Database &database_;
     Core::Random random_;
     boost::asio::steady_timer timer_;
-    std::string address_;
-    std::unique_ptr<Stub> stub_;
+    /// Kept to all peers, so that following another one costs no connection.
+    std::map<std::string, Peer> peers_;
     bool isPulling_ = false;
 };
 
--- a/Services/UpstreamStandIn/StreamReactor.cpp
+++ b/Services/UpstreamStandIn/StreamReactor.cpp
@@ -41,8 +41,8 @@
         boost::asio::post(context_, [connection = connection_] { connection->close(); });
         return;
     }
-    boost::asio::post(context_, [connection = connection_, frame = std::move(incoming_)]() mutable {
-        connection->receive(std::move(frame));
+    boost::asio::post(context_, [connection = connection_, frame = std::move(incoming_)] {
+        connection->receive(frame);
     });
     incoming_.Clear();
     StartRead(&incoming_);
--- a/Tests/StandIn/TestDatabaseGroup.cpp
+++ b/Tests/StandIn/TestDatabaseGroup.cpp
@@ -14,7 +14,6 @@
 
 using namespace Chervilpin;
 using namespace Chervilpin::StandIn;
-using Upstream::Role;
 using Upstream::Verdict;
 
 TEST_GROUP(DatabaseGroup){};
--- a/Tests/StandIn/TestDatabaseSession.cpp
+++ b/Tests/StandIn/TestDatabaseSession.cpp
@@ -17,8 +17,8 @@
     DatabaseState database = databaseOf("a");
     DatabaseSession session;
 
-    Upstream::Answer run(StatementKind kind, std::string_view text, std::string_view transaction,
-                         Core::Instant now = {})
+    Upstream::Answer execute(StatementKind kind, std::string_view text,
+                             std::string_view transaction, Core::Instant now = {})
     {
         auto statement = statementOf(kind, 1, text, transaction);
         statement.transactionIdle = 100_ms;
@@ -61,8 +61,8 @@
     for (const auto &row : rows) {
         session = {};
         if (row.isBegun)
-            CHECK(run(StatementKind::Begin, "", "t").verdict == Verdict::Done);
-        const auto answer = run(row.kind, "put k v", row.transaction);
+            CHECK(execute(StatementKind::Begin, "", "t").verdict == Verdict::Done);
+        const auto answer = execute(row.kind, "put k v", row.transaction);
         CHECK_TEXT(answer.verdict == row.verdict, row.name.c_str());
         CHECK_TEXT(answer.reason == row.reason, row.name.c_str());
     }
@@ -70,34 +70,36 @@
 
 TEST(DatabaseSession, CommitAppendsAllWritesAsOneEntry)
 {
-    CHECK(run(StatementKind::Begin, "", "t").verdict == Verdict::Done);
-    CHECK(run(StatementKind::Write, "put k 1", "t").verdict == Verdict::Done);
-    CHECK(run(StatementKind::Write, "add k 2", "t").verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Begin, "", "t").verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Write, "put k 1", "t").verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Write, "add k 2", "t").verdict == Verdict::Done);
     STRCMP_EQUAL("", value("k").c_str());
     STRCMP_EQUAL(R"({"key":"k","value":"3","position":0})",
-                 run(StatementKind::Read, "get k", "t").rows.front().c_str());
-    CHECK((run(StatementKind::Commit, "", "t").status.held == Core::LogMark{1, 1}));
+                 execute(StatementKind::Read, "get k", "t").rows.front().c_str());
+    CHECK((execute(StatementKind::Commit, "", "t").status.held == Core::LogMark{1, 1}));
     STRCMP_EQUAL(R"({"key":"k","value":"3","position":1})", value("k").c_str());
     CHECK(!session.isInTransaction());
 }
 
 TEST(DatabaseSession, FailedCommitLeavesNothing)
 {
-    CHECK(run(StatementKind::Begin, "", "t").verdict == Verdict::Done);
-    CHECK(run(StatementKind::Write, "put other v", "t").verdict == Verdict::Done);
-    CHECK(run(StatementKind::Write, "put k text", "t").verdict == Verdict::Done);
-    CHECK(run(StatementKind::Write, "add k 1", "t").verdict == Verdict::Done);
-    CHECK(run(StatementKind::Commit, "", "t").verdict == Verdict::Failed);
+    CHECK(execute(StatementKind::Begin, "", "t").verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Write, "put other v", "t").verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Write, "put k text", "t").verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Write, "add k 1", "t").verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Commit, "", "t").verdict == Verdict::Failed);
     STRCMP_EQUAL("", value("other").c_str());
     LONGS_EQUAL(0, database.status().held.position);
 }
 
 TEST(DatabaseSession, IdleTransactionIsRolledBack)
 {
-    CHECK(run(StatementKind::Begin, "", "t", Core::Instant(0)).verdict == Verdict::Done);
-    CHECK(run(StatementKind::Write, "put k v", "t", Core::Instant(99)).verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Begin, "", "t", Core::Instant(0)).verdict == Verdict::Done);
+    CHECK(execute(StatementKind::Write, "put k v", "t", Core::Instant(99)).verdict
+          == Verdict::Done);
     CHECK(!session.rollBackIfIdle(Core::Instant(198)));
-    CHECK(run(StatementKind::Commit, "", "t", Core::Instant(199)).reason == Reason::NoTransaction);
+    CHECK(execute(StatementKind::Commit, "", "t", Core::Instant(199)).reason
+          == Reason::NoTransaction);
     STRCMP_EQUAL("", value("k").c_str());
 }
 
@@ -107,10 +109,10 @@
     for (const auto endsTransactions : {true, false}) {
         database = databaseOf("a", {.endsTransactions = endsTransactions});
         session = {};
-        CHECK(run(StatementKind::Begin, "", "t").verdict == Verdict::Done);
-        CHECK(run(StatementKind::Write, "put k v", "t").verdict == Verdict::Done);
+        CHECK(execute(StatementKind::Begin, "", "t").verdict == Verdict::Done);
+        CHECK(execute(StatementKind::Write, "put k v", "t").verdict == Verdict::Done);
         CHECK(database.fence({2}).verdict == Verdict::Done);
-        CHECK(run(StatementKind::Commit, "", "t").reason == Reason::Superseded);
+        CHECK(execute(StatementKind::Commit, "", "t").reason == Reason::Superseded);
         CHECK(database.promote({2}).verdict == Verdict::Done);
         const auto commit = statementOf(StatementKind::Commit, 2, "", "t");
         const auto expected = endsTransactions ? Reason::NoTransaction : Reason::None;
