--- a/Libraries/StandIn/HttpServer.cpp
+++ b/Libraries/StandIn/HttpServer.cpp
@@ -1,10 +1,7 @@
 #include <StandIn/HttpServer.h>
 
-#include <Core/SteadyClock.h>
 #include <StandIn/HttpConnection.h>
 
-#include <boost/url/parse.hpp>
-#include <boost/url/url_view.hpp>
 #include <charconv>
 #include <utility>
 
@@ -80,6 +77,12 @@
     return server;
 }
 
+std::uint16_t HttpServer::port() const
+{
+    boost::system::error_code error;
+    return acceptor_.local_endpoint(error).port();
+}
+
 void HttpServer::accept()
 {
     acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
--- a/Libraries/StandIn/HttpServer.h
+++ b/Libraries/StandIn/HttpServer.h
@@ -67,6 +67,9 @@
     [[nodiscard]] static Core::ErrorOr<std::unique_ptr<HttpServer>>
     create(boost::asio::io_context &, std::string_view address, Handler);
 
+    /// The port listened on, which the system chooses if the address says 0.
+    [[nodiscard]] std::uint16_t port() const;
+
     /// Makes all connections deaf and mute for good, but for that of the given exchange.
     void silenceOthers(const HttpExchange &);
 
--- a/Services/PlatformStandIn/PlatformService.h
+++ b/Services/PlatformStandIn/PlatformService.h
@@ -32,6 +32,8 @@
     [[nodiscard]] static Core::ErrorOr<std::unique_ptr<PlatformService>>
     create(boost::asio::io_context &, const Settings &);
 
+    [[nodiscard]] std::uint16_t port() const { return server_->port(); }
+
 private:
     using Exchange = std::shared_ptr<StandIn::HttpExchange>;
 
