--- /dev/null
+++ b/Tests/Queue/TestFairQueue.cpp
@@ -0,0 +1,158 @@
+#include <Queue/FairQueue.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace Chervilpin;
+using namespace Chervilpin::Queue;
+using namespace Chervilpin::Core::Literals;
+
+namespace {
+
+const Core::Instant start(1'000);
+const Core::TeamName large("large");
+const Core::TeamName small("small");
+
+Ticket ticket(RequestId id, const Core::TeamName &team, Core::Duration latest = 10_s)
+{
+    return {id, team, "key-" + team.value(), start + latest};
+}
+
+void fill(FairQueue &queue, const Core::TeamName &team, RequestId first, int count)
+{
+    for (int i = 0; i < count; ++i)
+        (void)queue.enqueue(ticket(first + static_cast<RequestId>(i), team), 1, start);
+}
+
+} // namespace
+
+TEST_GROUP(FairQueue){};
+
+TEST(FairQueue, TurnsFollowTheWeights)
+{
+    const struct
+    {
+        const char *name;
+        Order order;
+        std::uint32_t weight;
+        std::size_t smallOfFirstTen;
+    } cases[] = {
+        {"equal weights", Order::DeficitRoundRobin, 1, 5},
+        {"weight 4", Order::DeficitRoundRobin, 4, 8},
+        {"first in, first out", Order::FirstInFirstOut, 1, 0},
+    };
+    for (const auto &one : cases) {
+        FairQueueOptions options;
+        options.order = one.order;
+        FairQueue queue(options);
+        queue.setWeight(small, one.weight);
+        fill(queue, large, 1, 100);
+        fill(queue, small, 1000, 100);
+        std::size_t smalls = 0;
+        for (int i = 0; i < 10; ++i)
+            smalls += queue.takeNext(start)->team == small ? 1 : 0;
+        LONGS_EQUAL_TEXT(one.smallOfFirstTen, smalls, one.name);
+    }
+}
+
+TEST(FairQueue, IsWorkConservingAndKeepsATeamsOrder)
+{
+    FairQueue queue;
+    fill(queue, large, 1, 20);
+    for (RequestId id = 1; id <= 20; ++id)
+        LONGS_EQUAL(id, queue.takeNext(start)->id);
+    CHECK(!queue.takeNext(start).has_value());
+    CHECK(queue.isEmpty());
+}
+
+TEST(FairQueue, RefusesOnArrivalWhatCannotStartInTime)
+{
+    const struct
+    {
+        const char *name;
+        bool isGuardOn;
+        Core::TeamName team;
+        Core::Duration latest;
+        EnqueueVerdict verdict;
+    } cases[] = {
+        // Forty wait, at 5 ms each on two slots.
+        {"its own backlog is too long", true, large, 99_ms, EnqueueVerdict::Unmeetable},
+        {"its own backlog is short enough", true, large, 100_ms, EnqueueVerdict::Queued},
+        {"another team's backlog hardly counts", true, small, 5_ms, EnqueueVerdict::Queued},
+        {"guard off", false, large, 99_ms, EnqueueVerdict::Queued},
+    };
+    for (const auto &one : cases) {
+        FairQueueOptions options;
+        options.refusesUnmeetable = one.isGuardOn;
+        FairQueue queue(options);
+        fill(queue, large, 1, 40);
+        const EnqueueResult result = queue.enqueue(ticket(99, one.team, one.latest), 2, start);
+        CHECK_TEXT(result.verdict == one.verdict, one.name);
+        const bool isRefused = one.verdict != EnqueueVerdict::Queued;
+        LONGS_EQUAL_TEXT(isRefused ? 100 : 0, result.retryAfter.milliseconds(), one.name);
+    }
+}
+
+TEST(FairQueue, TheEstimateFollowsTheServiceTime)
+{
+    FairQueue queue;
+    fill(queue, large, 1, 10);
+    LONGS_EQUAL(50, queue.estimatedWait(large, 1).milliseconds());
+    for (int i = 0; i < 200; ++i)
+        queue.recordServiceTime(20_ms);
+    CHECK(queue.estimatedWait(large, 1) > 190_ms);
+    CHECK(queue.estimatedWait(large, 1) <= 200_ms);
+}
+
+TEST(FairQueue, OneTeamsMemoryIsBounded)
+{
+    FairQueueOptions options;
+    options.mostPerTeam = 3;
+    FairQueue queue(options);
+    fill(queue, large, 1, 5);
+    LONGS_EQUAL(3, queue.size());
+    CHECK(queue.enqueue(ticket(9, large), 1, start).verdict == EnqueueVerdict::QueueFull);
+    CHECK(queue.enqueue(ticket(9, small), 1, start).verdict == EnqueueVerdict::Queued);
+}
+
+TEST(FairQueue, NothingLeavesSilently)
+{
+    // Each way out gives the request back exactly once.
+    FairQueue queue;
+    fill(queue, large, 1, 4);
+    fill(queue, small, 11, 4);
+    (void)queue.enqueue(ticket(21, small, 20_ms), 8, start);
+    (void)queue.enqueue(ticket(22, large, 20_ms), 8, start);
+    std::map<RequestId, int> seen;
+    const auto note = [&seen](const std::vector<Ticket> &tickets) {
+        for (const Ticket &one : tickets)
+            ++seen[one.id];
+    };
+    ++seen[queue.cancel(2)->id];
+    CHECK(!queue.cancel(2).has_value());
+    ++seen[queue.takeNext(start)->id];
+    const Core::Instant late = start + 21_ms;
+    LONGS_EQUAL(0, queue.takeExpired(start + 20_ms).size());
+    note(queue.takeExpired(late));
+    LONGS_EQUAL(4, seen.size());
+    note(queue.cancelKey("key-large"));
+    LONGS_EQUAL(0, queue.sizeOf(large));
+    note(queue.cancelTeam(small));
+    note(queue.cancelAll());
+    LONGS_EQUAL(10, seen.size());
+    for (const auto &[id, times] : seen)
+        LONGS_EQUAL(1, times);
+    CHECK(queue.isEmpty());
+}
+
+TEST(FairQueue, AnExpiredRequestIsNeverStartedButComesOutAsExpired)
+{
+    FairQueue queue;
+    (void)queue.enqueue(ticket(1, small, 20_ms), 1, start);
+    (void)queue.enqueue(ticket(2, small, 50_ms), 1, start);
+    LONGS_EQUAL(2, queue.takeNext(start + 30_ms)->id);
+    const auto expired = queue.takeExpired(start + 30_ms);
+    LONGS_EQUAL(1, expired.size());
+    LONGS_EQUAL(1, expired.front().id);
+}
