Model of fencing, promotion and acknowledgement, with broken variants

The model found that counting a database which knows a higher term towards a write's majority loses the write: it may have got the entry from a later primary, while a paused coordinator of a term between the two promotes a database that lacks it.

--- /dev/null
+++ b/Meta/check-models.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Checks the models in Meta/Models exhaustively: the good ones must pass, the broken ones must fail.
+# Usage: check-models.sh [full]; full adds the largest model, about 20 million states.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+model="$PWD/Meta/Models/failover.pml"
+directory="$(mktemp -d)"
+trap 'rm -rf "$directory"' EXIT
+cd "$directory"
+
+# Prints the verifier's summary of the model with the given definitions.
+verify() {
+    spin -a "$@" "$model"
+    gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=4000 -o pan pan.c
+    timeout 110 ./pan -m200000 | grep -E '^pan:|errors:|states, stored|Search not completed|limit'
+}
+
+mustPass() {
+    summary="$(verify "$@")" || true
+    echo "good model $*: $(echo "$summary" | grep -E 'errors:|stored' | tr -s ' ' | tr '\n' ';')"
+    grep -q 'errors: 0' <<<"$summary" && ! grep -qE 'not completed|limit' <<<"$summary"
+}
+
+mustFail() {
+    summary="$(verify "$@")" || true
+    echo "broken model $*: $(echo "$summary" | grep -oE 'assertion violated|errors: [0-9]+' | tr '\n' ' ')"
+    grep -q 'assertion violated' <<<"$summary"
+}
+
+mustPass -DWRITES=2 -DFIRST_LAST=2
+mustPass -DWRITES=1 -DFIRST_LAST=4
+for defect in FENCE_ONE ACKNOWLEDGE_EARLY COUNT_LATER_TERMS HELD_BY_FOLLOWING CHOOSE_AGAIN IGNORE_TERM; do
+    mustFail -DWRITES=1 -DFIRST_LAST=2 "-D$defect"
+done
+if [ "${1:-}" = full ]; then
+    mustPass -DWRITES=2 -DFIRST_LAST=4
+fi
+echo "all models as expected"
--- a/Tests/Failover/FakeDatabases.h
+++ b/Tests/Failover/FakeDatabases.h
@@ -127,12 +127,14 @@
     }
 };
 
-/// Whether a majority holds the mark in its term: the rule of acknowledgement.
+/// Whether a majority holds the mark in its term: the rule of acknowledgement. A database that
+/// knows a higher term doesn't count.
 [[nodiscard]] inline bool isHeldByMajority(const std::vector<FakeDatabase> &databases,
                                            Core::LogMark mark)
 {
     const auto holders = std::ranges::count_if(databases, [&](const FakeDatabase &database) {
-        return database.held().term == mark.term && database.held().position >= mark.position;
+        return database.knownTerm == mark.term && database.held().term == mark.term
+            && database.held().position >= mark.position;
     });
     return static_cast<std::size_t>(holders) > databases.size() / 2;
 }
