Fault table of failover; every row fails first with a guard off

Fourteen faults (primary killed, paused, cut off with its callers, with a replica behind, with the platform out, slow or losing answers; coordinator paused or killed at each step; two faults) keep their gap and lose no acknowledged write; each row's weakened policy breaks the promise. Slow primaries, single cut nodes and partitioned nodes promote nothing. Whatever was paused is woken 5 s later and changes no term.

--- a/Libraries/Failover/GroupFailover.cpp
+++ b/Libraries/Failover/GroupFailover.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr unsigned groupNumberShift = 40;
-/// The connection number under which this module's own pings are counted.
-constexpr ConnectionId ownPings = 0;
 /// A request without any report is forgotten after this.
 constexpr Core::Duration requestMemory{5000};
 /// Between two pings or questions of a node that looks for the primary.
@@ -108,8 +106,7 @@
     const Sent sent = found->second;
     sent_.erase(found);
     Watched *watched = find(sent.database);
-    watched->detector.answered(ownPings, now);
-    watched->detector.measured(now - sent.at);
+    watched->detector.pingAnswered(now - sent.at, now);
     if (promotion_) {
         send(promotion_->answered(sent.database, sent.body, answer, now), now);
         if (std::holds_alternative<Upstream::Follow>(sent.body)
@@ -467,6 +464,7 @@
 {
     const std::optional<Core::Term> term = reservation_.reservedTerm();
     if (!term) {
+        reservation_.demand();
         if (!saidNoTerm_)
             note("failover_without_term");
         saidNoTerm_ = true;
--- a/Libraries/Failover/Policy.h
+++ b/Libraries/Failover/Policy.h
@@ -22,7 +22,7 @@
     Core::Duration slowLatency{200};        ///< Answers slower than this mark it slow.
     std::int64_t silenceLatencyFactor = 4;  ///< The threshold is at least this many latencies.
     Core::Duration maximumSilence{1500};    ///< Bound of the threshold for slow databases.
-    Guard answersProveLife = Guard::On;     ///< A database that still answers is never blamed.
+    Guard answersProveLife = Guard::On;     ///< Late answers count as life too.
     Guard freshConnectionFirst = Guard::On; ///< Silence counts only with a new connection's.
 };
 
@@ -57,6 +57,7 @@
     Core::Duration refreshInterval{30000};   ///< Between two reads of an unchanged term object.
     std::size_t announceFanOut = 32;         ///< Peers told of a promotion by its coordinator.
     std::size_t relayFanOut = 3;             ///< Peers told by each node that hears it first.
+    Guard reserveAhead = Guard::On;          ///< A term is reserved before it is needed.
     Guard askPeers = Guard::On;              ///< Peers are asked before a promotion.
     Guard suspectOneself = Guard::On;        ///< A node without a majority does nothing.
 };
--- a/Libraries/Failover/SuspicionDetector.cpp
+++ b/Libraries/Failover/SuspicionDetector.cpp
@@ -5,6 +5,8 @@
 namespace Chervilpin::Failover {
 
 namespace {
+/// The connection number under which this module's own pings are counted.
+constexpr ConnectionId ownPings = 0;
 /// The smoothed latency keeps this share of its old value with each sample.
 constexpr std::int64_t latencyMemory = 3;
 constexpr std::int64_t latencyShares = 4;
@@ -23,8 +25,6 @@
 void SuspicionDetector::answered(ConnectionId connection, Core::Instant now)
 {
     unanswered_.erase(connection);
-    if (policy_.answersProveLife == Guard::Off && wasHeard_)
-        return;
     lastHeard_ = now;
     wasHeard_ = true;
     refusedAt_.reset();
@@ -37,8 +37,11 @@
         freshPingedAt_ = now;
 }
 
-void SuspicionDetector::measured(Core::Duration latency)
+void SuspicionDetector::pingAnswered(Core::Duration latency, Core::Instant now)
 {
+    if (policy_.answersProveLife == Guard::Off && latency > policy_.silenceThreshold)
+        return;
+    answered(ownPings, now);
     // A rise counts at once, since it delays suspicion; a fall is smoothed.
     latency_ = std::max(latency, (latency_ * latencyMemory + latency) / latencyShares);
 }
--- a/Libraries/Failover/SuspicionDetector.h
+++ b/Libraries/Failover/SuspicionDetector.h
@@ -34,8 +34,8 @@
     void answered(ConnectionId, Core::Instant now);
     /// A ping was sent on a connection opened for it; its answer comes through answered().
     void pingedFresh(Core::Instant now);
-    /// An answer to a ping came this long after the ping was sent.
-    void measured(Core::Duration latency);
+    /// An answer to a ping of this module came, this long after the ping was sent.
+    void pingAnswered(Core::Duration latency, Core::Instant now);
     void connectionEnded(ConnectionId);
     /// The machine is there, but nothing listens.
     void connectRefused(Core::Instant now);
--- a/Libraries/Failover/TermReservation.cpp
+++ b/Libraries/Failover/TermReservation.cpp
@@ -38,6 +38,7 @@
     , group_(group)
     , policy_(policy)
     , random_(random)
+    , isDemanded_(policy_.reserveAhead == Guard::On)
     , reservationNonce_(random_.bits())
 { }
 
@@ -183,13 +184,12 @@
         return entry.node == self_.name
             && (isReleased_ || entry.nonce != reservationNonce_ || !isUsable(entry));
     };
-    const bool wants = !isReleased_ && isHolder(self_.name);
-    if (!wants && !isReleased_)
-        return;
     if (isReleased_) {
         std::erase_if(object.reservations, isStaleOwn);
         return;
     }
+    if (!isDemanded_ || !isHolder(self_.name))
+        return;
     const Reservation *own = object.reservationOf(self_.name);
     if (own != nullptr && !isStaleOwn(*own))
         return;
--- a/Libraries/Failover/TermReservation.h
+++ b/Libraries/Failover/TermReservation.h
@@ -27,6 +27,8 @@
     /// Whether this node should hold a reservation, and which nodes may; reservations of others
     /// are replaced.
     void setHolders(std::vector<Core::NodeName>);
+    /// A term is needed now; without effect where they are reserved ahead.
+    void demand() { isDemanded_ = true; }
     /// Gives the reservation back and takes no other.
     void release();
     /// Terms up to this one are spent.
@@ -77,6 +79,7 @@
     Core::Random random_;
     std::vector<Core::NodeName> holders_;
     bool isReleased_ = false;
+    bool isDemanded_ = false;
     Core::Term termSeen_ = 0;
     Nonce reservationNonce_ = 0;
     std::optional<Reservation> own_;
--- a/Tests/Failover/FakeDatabases.h
+++ b/Tests/Failover/FakeDatabases.h
@@ -37,9 +37,9 @@
         return log.empty() ? Core::LogMark{} : Core::LogMark{log.back().term, log.size()};
     }
 
-    [[nodiscard]] bool holds(std::uint64_t write) const
+    [[nodiscard]] bool holds(Core::LogMark mark, std::uint64_t write) const
     {
-        return std::ranges::any_of(log, [&](const Entry &entry) { return entry.write == write; });
+        return log.size() >= mark.position && log[mark.position - 1] == Entry{mark.term, write};
     }
 
     [[nodiscard]] bool isPrimaryIn(Core::Term term) const
--- a/Tests/Failover/FakeFleet.h
+++ b/Tests/Failover/FakeFleet.h
@@ -127,12 +127,25 @@
                 call();
             }
             for (std::size_t index = 0; index < nodes.size(); ++index)
-                atNode(index, [this, index] { carryOut(index, nodes[index].manager.tick(now)); });
+                tick(index);
             replicate();
+            for (const std::size_t caller : callers)
+                write(caller);
             afterStep();
         }
     }
 
+    void kill(std::size_t databaseIndex) { hosts[database(databaseIndex)].isAlive = false; }
+    void pause(std::size_t databaseIndex) { hosts[database(databaseIndex)].isPaused = true; }
+
+    [[nodiscard]] std::size_t count(std::string_view event) const
+    {
+        std::size_t found = 0;
+        for (const auto &node : nodes)
+            found += static_cast<std::size_t>(std::ranges::count(node.events, event));
+        return found;
+    }
+
     void wake(std::size_t index)
     {
         nodes[index].isPaused = false;
@@ -169,6 +182,7 @@
                                             .text = std::to_string(id)});
         if (answer.verdict != Upstream::Verdict::Done)
             return false;
+        // An answer shows the mark at once, whatever becomes of the database afterwards.
         unacknowledged.push_back({id, answer.status.held, known.owner});
         return true;
     }
@@ -213,8 +227,25 @@
     std::uint64_t lastWrite = 0;
     /// Decides whether a request's answer is lost after it took effect.
     std::function<bool(const Upstream::RequestBody &)> losesAnswer;
-    /// Called with each request to a database as it is sent by a node.
-    std::function<void(std::size_t node, const Upstream::RequestBody &)> onSend;
+    /// Called before a node sends a request; may pause or kill the node.
+    std::function<void(std::size_t node, const Upstream::RequestBody &)> beforeSend;
+    std::function<void(std::size_t node)> afterTick;
+    std::set<std::size_t> callers; ///< Nodes with one write in each step.
+    Core::Instant lastServed{1000};
+    Core::Duration longestGap; ///< Between two steps that acknowledged something.
+
+    void carryOut(std::size_t index, const Actions &actions)
+    {
+        for (const auto &action : actions) {
+            if (!nodes[index].isAlive)
+                return;
+            if (nodes[index].isPaused)
+                nodes[index].mailbox.push_back(
+                    [this, index, action] { carryOut(index, Actions{action}); });
+            else
+                std::visit([this, index](const auto &body) { carryOut(index, body); }, action);
+        }
+    }
 
 private:
     void addNode(std::size_t index, const std::vector<PeerNode> &live, const FailoverPolicy &policy)
@@ -241,18 +272,23 @@
         due.emplace(now + delay, [this, index, call = std::move(call)] { atNode(index, call); });
     }
 
-    void carryOut(std::size_t index, const Actions &actions)
+    void tick(std::size_t index)
     {
-        for (const auto &action : actions)
-            std::visit([this, index](const auto &body) { carryOut(index, body); }, action);
+        if (!nodes[index].isAlive || nodes[index].isPaused)
+            return;
+        carryOut(index, nodes[index].manager.tick(now));
+        if (afterTick)
+            afterTick(index);
     }
 
     void carryOut(std::size_t index, const SendToDatabase &request)
     {
-        if (onSend)
-            onSend(index, request.body);
-        if (nodes[index].isPaused)
+        if (beforeSend)
+            beforeSend(index, request.body);
+        if (nodes[index].isPaused) {
+            nodes[index].mailbox.push_back([this, index, request] { carryOut(index, request); });
             return;
+        }
         const FakeDatabase &target = find(request.database);
         if (isCut(nodes[index].self.dataCentre, target.dataCentre))
             return;
@@ -346,6 +382,8 @@
             if (!isHeldByMajority(databases, write.mark))
                 return false;
             acknowledged.push_back(write);
+            longestGap = std::max(longestGap, now - lastServed);
+            lastServed = now;
             return true;
         });
         Core::Term highest = 0;
@@ -356,7 +394,7 @@
             if (!entry.isPrimaryIn(highest))
                 continue;
             for (const auto &write : acknowledged)
-                if (!entry.holds(write.id) && broken.empty())
+                if (!entry.holds(write.mark, write.id) && broken.empty())
                     broken = "an acknowledged write is not in a later primary's log";
             if (!primaries_.emplace(highest, entry.name).second && primaries_[highest] != entry.name
                 && broken.empty())
--- a/Tests/Failover/TestFailover.cpp
+++ b/Tests/Failover/TestFailover.cpp
@@ -1,12 +1,220 @@
 #include <Tests/Failover/FakeFleet.h>
 
 #include <CppUTest/TestHarness.h>
+#include <cstdio>
+#include <cstdlib>
 
 using namespace Chervilpin;
 using namespace Chervilpin::Failover;
 using namespace Chervilpin::Failover::Fakes;
 using namespace Chervilpin::Core::Literals;
 
+namespace {
+
+using Inflict = void (*)(FakeFleet &);
+
+void killPrimary(FakeFleet &fleet)
+{
+    fleet.kill(0);
+}
+
+void cutPrimaryOffWithItsCallers(FakeFleet &fleet)
+{
+    fleet.cut(0, 1);
+    fleet.cut(0, 2);
+}
+
+void killPrimaryWhileAReplicaLags(FakeFleet &fleet)
+{
+    fleet.lagging.insert(FakeFleet::database(1));
+    fleet.run(100_ms);
+    fleet.kill(0);
+    fleet.due.emplace(fleet.now + 700_ms, [&fleet] { fleet.lagging.clear(); });
+}
+
+void killPrimaryWithPlatformOut(FakeFleet &fleet)
+{
+    fleet.platform.mode = PlatformMode::Out;
+    fleet.kill(0);
+}
+
+void killPrimaryWithPlatformSlow(FakeFleet &fleet)
+{
+    fleet.platform.latency = 2_s;
+    fleet.kill(0);
+}
+
+void killPrimaryWithPlatformAnswersLost(FakeFleet &fleet)
+{
+    fleet.platform.mode = PlatformMode::LosesAnswers;
+    fleet.kill(0);
+}
+
+/// The holder of the lowest reserved term, who acts first.
+std::size_t firstCoordinator(const FakeFleet &fleet)
+{
+    std::size_t first = 0;
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+        const auto term = fleet.nodes[node].manager.view(FakeFleet::groupName())->reservedTerm;
+        const auto best = fleet.nodes[first].manager.view(FakeFleet::groupName())->reservedTerm;
+        if (term && (!best || *term < *best))
+            first = node;
+    }
+    return first;
+}
+
+/// The primary dies, and the first coordinator is stopped before its first request of a kind.
+template<typename Body>
+void killPrimaryAndPauseAt(FakeFleet &fleet)
+{
+    fleet.kill(0);
+    fleet.beforeSend = [&fleet](std::size_t node, const Upstream::RequestBody &body) {
+        if (!std::holds_alternative<Body>(body))
+            return;
+        fleet.nodes[node].isPaused = true;
+        fleet.beforeSend = nullptr;
+    };
+}
+
+/// The first coordinator's promotion reaches the database, but the coordinator dies at once.
+void killPrimaryAndPromoter(FakeFleet &fleet)
+{
+    fleet.kill(0);
+    fleet.losesAnswer = [&fleet](const Upstream::RequestBody &body) {
+        if (!std::holds_alternative<Upstream::Promote>(body))
+            return false;
+        for (auto &node : fleet.nodes)
+            node.isAlive = node.isAlive && !node.manager.view(FakeFleet::groupName())->isPromoting;
+        fleet.losesAnswer = nullptr;
+        return true;
+    };
+}
+
+void killPrimaryAndLosePromotionAnswer(FakeFleet &fleet)
+{
+    fleet.kill(0);
+    fleet.losesAnswer = [&fleet](const Upstream::RequestBody &body) {
+        if (!std::holds_alternative<Upstream::Promote>(body))
+            return false;
+        fleet.losesAnswer = nullptr;
+        return true;
+    };
+}
+
+void killPrimaryAndFirstCoordinator(FakeFleet &fleet)
+{
+    fleet.nodes[firstCoordinator(fleet)].isAlive = false;
+    fleet.kill(0);
+}
+
+/// The chosen database dies when it is promoted; the old primary comes back, or there would be no
+/// majority.
+void killPrimaryThenTheChosen(FakeFleet &fleet)
+{
+    fleet.kill(0);
+    fleet.losesAnswer = [&fleet](const Upstream::RequestBody &body) {
+        if (!std::holds_alternative<Upstream::Promote>(body))
+            return false;
+        for (auto &database : fleet.databases)
+            if (database.role == Upstream::Role::Primary && database.name != FakeFleet::database(0))
+                fleet.hosts[database.name].isAlive = false;
+        fleet.hosts[FakeFleet::database(0)].isAlive = true;
+        fleet.losesAnswer = nullptr;
+        return true;
+    };
+}
+
+using Weaken = void (*)(FailoverPolicy &);
+
+void detectLate(FailoverPolicy &policy)
+{
+    policy.detection.pingInterval = 4_s;
+    policy.detection.freshPingAfter = 4_s;
+    policy.detection.silenceThreshold = 4_s;
+}
+
+void claimOnlyWhenNeeded(FailoverPolicy &policy)
+{
+    policy.reserveAhead = Guard::Off;
+}
+
+void repeatNothing(FailoverPolicy &policy)
+{
+    policy.promotion.retryInterval = 10_s;
+    policy.promotion.promoteDeadline = 10_s;
+    policy.promotion.followRetryInterval = 10_s;
+}
+
+void neverTakeOver(FailoverPolicy &policy)
+{
+    policy.rankDelay = 10_s;
+    policy.abandonedAfter = 10_s;
+}
+
+void leaveFollowingToTheCoordinator(FailoverPolicy &policy)
+{
+    policy.promotion.followRetryInterval = 10_s;
+}
+
+struct Fault
+{
+    const char *name;
+    Inflict inflict;
+    Core::Duration gap; ///< The most that writes may stop for.
+    Weaken weaken;      ///< Makes the promise fail.
+};
+
+// One fault ends within 1 s, one that also takes the coordinator within 2.5 s. A second database
+// that dies in the midst of it costs another promotion.
+const Fault faults[] = {
+    {"primary killed", killPrimary, 1_s, detectLate},
+    {"primary paused", [](FakeFleet &fleet) { fleet.pause(0); }, 1_s, detectLate},
+    {"primary cut off with its callers", cutPrimaryOffWithItsCallers, 1_s, detectLate},
+    {"primary killed, a replica behind", killPrimaryWhileAReplicaLags, 1_s,
+     [](FailoverPolicy &policy) {
+         policy.promotion.highestMark = Guard::Off;
+     }},
+    {"primary killed, platform out", killPrimaryWithPlatformOut, 1_s, claimOnlyWhenNeeded},
+    {"primary killed, platform slow", killPrimaryWithPlatformSlow, 1_s, claimOnlyWhenNeeded},
+    {"primary killed, platform's answers lost", killPrimaryWithPlatformAnswersLost, 1_s,
+     claimOnlyWhenNeeded},
+    {"promotion's answer lost", killPrimaryAndLosePromotionAnswer, 1_s, repeatNothing},
+    {"coordinator paused before its fence", killPrimaryAndPauseAt<Upstream::Fence>, 2500_ms,
+     neverTakeOver},
+    {"coordinator paused before its promotion", killPrimaryAndPauseAt<Upstream::Promote>, 2500_ms,
+     neverTakeOver},
+    {"coordinator paused before the others follow", killPrimaryAndPauseAt<Upstream::Follow>,
+     2500_ms, leaveFollowingToTheCoordinator},
+    {"coordinator killed with the primary", killPrimaryAndFirstCoordinator, 2500_ms, neverTakeOver},
+    {"coordinator killed once it promoted", killPrimaryAndPromoter, 2500_ms,
+     leaveFollowingToTheCoordinator},
+    {"chosen database killed when promoted", killPrimaryThenTheChosen, 4_s, neverTakeOver},
+};
+
+std::string describe(const Fault &fault, const FakeFleet &fleet)
+{
+    return std::string(fault.name) + ": gap " + std::to_string(fleet.longestGap.milliseconds())
+        + " ms, " + fleet.broken;
+}
+
+void suffer(const Fault &fault, FakeFleet &fleet)
+{
+    fleet.run(1_s);
+    fleet.callers = {0, 1, 2};
+    fleet.run(200_ms);
+    fleet.longestGap = {};
+    fault.inflict(fleet);
+    fleet.run(5_s);
+}
+
+bool keepsPromise(const Fault &fault, const FakeFleet &fleet)
+{
+    return fleet.broken.empty() && fleet.now - fleet.lastServed < 100_ms
+        && fleet.longestGap <= fault.gap;
+}
+
+} // namespace
+
 TEST_GROUP(Failover){};
 
 TEST(Failover, EveryNodeLearnsTheFirstPrimaryAndOwner)
@@ -22,13 +230,163 @@
     }
 }
 
-TEST(Failover, KilledPrimaryIsReplaced)
+TEST(Failover, EveryFaultEndsInTimeAndLosesNothing)
 {
-    FakeFleet fleet;
+    for (const auto &fault : faults) {
+        FailoverPolicy weakened;
+        fault.weaken(weakened);
+        FakeFleet weak(weakened);
+        suffer(fault, weak);
+        CHECK_TEXT(!keepsPromise(fault, weak), fault.name);
+
+        FakeFleet fleet;
+        suffer(fault, fleet);
+        const std::string what = describe(fault, fleet);
+        CHECK_TEXT(keepsPromise(fault, fleet), what.c_str());
+        if (std::getenv("CHERVILPIN_PRINT_GAPS") != nullptr)
+            std::printf("%s\n", what.c_str());
+
+        // Whatever stood still goes on, and does no harm.
+        fleet.beforeSend = nullptr;
+        fleet.cuts.clear();
+        for (auto &[name, host] : fleet.hosts)
+            host = {};
+        const Core::Term term = fleet.nodes[1].known.back().term;
+        for (std::size_t node = 0; node < 3; ++node)
+            fleet.wake(node);
+        fleet.longestGap = {};
+        fleet.run(3_s);
+        CHECK_TEXT(fleet.broken.empty(), what.c_str());
+        CHECK_TEXT(fleet.longestGap <= 100_ms, describe(fault, fleet).c_str());
+        for (const auto &database : fleet.databases)
+            LONGS_EQUAL_TEXT(term, database.knownTerm, what.c_str());
+    }
+}
+
+TEST(Failover, DuelOfAllCoordinatorsIsSettledByTerms)
+{
+    FailoverPolicy policy;
+    policy.rankDelay = 0_ms;
+    FakeFleet fleet(policy);
     fleet.run(1_s);
-    CHECK(fleet.serves(1));
-    fleet.hosts[FakeFleet::database(0)].isAlive = false;
+    fleet.callers = {0, 1, 2};
+    fleet.run(200_ms);
+    fleet.kill(0);
+    fleet.run(4_s);
+    STRCMP_EQUAL("", fleet.broken.c_str());
+    CHECK(fleet.count("promotion_started") > 1);
+    CHECK(fleet.longestGap <= 2500_ms);
+}
+
+namespace {
+
+void slowDown(FakeFleet &fleet)
+{
+    for (const auto latency : {100_ms, 250_ms, 350_ms, 700_ms, 1000_ms}) {
+        fleet.hosts[FakeFleet::database(0)].latency = latency;
+        fleet.run(2_s);
+    }
+}
+
+void cutOneNodeFromThePrimary(FakeFleet &fleet)
+{
+    fleet.cut(0, 1);
+    fleet.run(3_s);
+}
+
+void cutOneNodeOff(FakeFleet &fleet)
+{
+    fleet.cut(2, 0);
+    fleet.cut(2, 1);
+    fleet.run(3_s);
+}
+
+struct NoReason
+{
+    const char *name;
+    Inflict inflict;
+    void (*switchOff)(FailoverPolicy &);
+};
+
+const NoReason noReasons[] = {
+    {"slow primary", slowDown,
+     [](FailoverPolicy &policy) {
+         policy.detection.answersProveLife = Guard::Off;
+     }},
+    {"one node cut from the primary", cutOneNodeFromThePrimary,
+     [](FailoverPolicy &policy) {
+         policy.askPeers = Guard::Off;
+     }},
+    {"one node cut off from all others", cutOneNodeOff,
+     [](FailoverPolicy &policy) {
+         policy.suspectOneself = Guard::Off;
+     }},
+};
+
+std::size_t promotionsStarted(const NoReason &row, const FailoverPolicy &policy)
+{
+    FakeFleet fleet(policy);
     fleet.run(1_s);
-    CHECK(fleet.serves(1));
+    row.inflict(fleet);
     STRCMP_EQUAL("", fleet.broken.c_str());
+    return fleet.count("promotion_started");
+}
+
+} // namespace
+
+TEST(Failover, NothingIsPromotedWithoutReason)
+{
+    for (const auto &row : noReasons) {
+        FailoverPolicy unguarded;
+        row.switchOff(unguarded);
+        LONGS_EQUAL_TEXT(0, promotionsStarted(row, {}), row.name);
+        CHECK_TEXT(promotionsStarted(row, unguarded) > 0, row.name);
+    }
+}
+
+namespace {
+
+struct Unsafe
+{
+    const char *name;
+    Inflict inflict;
+    void (*switchOff)(FailoverPolicy &);
+};
+
+const Unsafe unsafe[] = {
+    {"chooses after one fence", killPrimaryWhileAReplicaLags,
+     [](FailoverPolicy &policy) {
+         policy.promotion.majorityFence = Guard::Off;
+     }},
+    {"promotes a replica that is behind", killPrimaryWhileAReplicaLags,
+     [](FailoverPolicy &policy) {
+         policy.promotion.highestMark = Guard::Off;
+     }},
+    {"tries a second database under one term", killPrimaryThenTheChosen,
+     [](FailoverPolicy &policy) {
+         policy.promotion.oneChoicePerTerm = Guard::Off;
+     }},
+};
+
+std::string brokenBy(const Unsafe &row, const FailoverPolicy &policy)
+{
+    FakeFleet fleet(policy);
+    fleet.run(1_s);
+    fleet.callers = {0, 1, 2};
+    fleet.run(200_ms);
+    row.inflict(fleet);
+    fleet.run(5_s);
+    return fleet.broken;
+}
+
+} // namespace
+
+TEST(Failover, GuardsKeepWhatTheyAreFor)
+{
+    for (const auto &row : unsafe) {
+        FailoverPolicy unguarded;
+        row.switchOff(unguarded);
+        CHECK_TEXT(brokenBy(row, {}).empty(), row.name);
+        CHECK_TEXT(!brokenBy(row, unguarded).empty(), row.name);
+    }
 }
