Property tests of promotion: any order of messages, fleets under faults

Two or three coordinators whose requests and answers arrive in any order, twice or never (3000 cases), and three managers under generated faults (60 cases) keep: one primary a term, each acknowledged write in every later primary's log, and service within 15 s of the last fault. The seed is fixed; each switched-off guard is found by the same generator.

--- /dev/null
+++ b/Tests/Failover/TestPromotionProperties.cpp
@@ -0,0 +1,300 @@
+#include <rapidcheck.h>
+#include <rapidcheck/detail/TestListenerAdapter.h>
+
+#include <Failover/PromotionCoordinator.h>
+#include <Tests/Failover/FakeDatabases.h>
+#include <Tests/Failover/FakeFleet.h>
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+using namespace Chervilpin;
+using namespace Chervilpin::Failover;
+using namespace Chervilpin::Failover::Fakes;
+using namespace Chervilpin::Core::Literals;
+
+namespace {
+
+constexpr std::uint64_t seed = 20261204;
+
+enum class Report {
+    Printed,
+    Silent, ///< For properties that must fail.
+};
+
+/// Runs a property with the fixed seed; a failure prints the case and how to run it again.
+template<typename Property>
+bool holds(const std::string &name, int cases, Report report, Property property)
+{
+    rc::detail::TestParams parameters;
+    parameters.seed = seed;
+    parameters.maxSuccess = cases;
+    parameters.maxSize = 100;
+    rc::detail::TestMetadata metadata;
+    metadata.id = name;
+    metadata.description = name;
+    rc::detail::TestListenerAdapter listener;
+    const auto result =
+        rc::detail::checkTestable(property, metadata, parameters, listener,
+                                  std::unordered_map<std::string, rc::detail::Reproduce>{});
+    if (result.template is<rc::detail::SuccessResult>())
+        return true;
+    if (report == Report::Silent)
+        return false;
+    rc::detail::printResultMessage(result, std::cout);
+    std::cout << "\nreplay: TestFailover -n " << name << " (the seed is fixed: " << seed << ")\n";
+    return false;
+}
+
+/// Three databases and several coordinators whose requests and answers arrive in any order, more
+/// than once, or never.
+struct Interleaving
+{
+    struct InFlight
+    {
+        std::size_t coordinator = 0;
+        PromotionCoordinator::Request request;
+        std::optional<Upstream::Answer> answer{}; ///< Set once the request took effect.
+    };
+
+    explicit Interleaving(std::size_t coordinatorCount, PromotionPolicy policy)
+    {
+        for (std::size_t index = 0; index < 3; ++index)
+            databases.push_back({.name = FakeFleet::database(index)});
+        databases[0].run(Upstream::Promote{1});
+        for (auto &database : databases)
+            database.run(Upstream::Follow{1, FakeFleet::database(0), {}});
+        for (std::size_t index = 0; index < coordinatorCount; ++index)
+            coordinators.push_back(
+                *PromotionCoordinator::create({FakeFleet::group(), index + 2, {}}, policy, now));
+    }
+
+    /// Steps of the writer and of replication are as frequent as all of the coordinators.
+    static constexpr std::size_t kinds = 14;
+
+    void step(std::size_t kind, std::size_t which)
+    {
+        const std::size_t coordinator = which % coordinators.size();
+        FakeDatabase &database = databases[which % databases.size()];
+        if (kind == 0)
+            now = now + 600_ms;
+        else if (kind <= 2)
+            send(coordinator, coordinators[coordinator].tick(now = now + 50_ms));
+        else if (kind <= 4)
+            arrive(which);
+        else if (kind <= 6)
+            answer(which);
+        else if (kind <= 9)
+            pull(database);
+        else if (kind <= 10)
+            write(database);
+        else
+            observe(database);
+        check();
+    }
+
+    void send(std::size_t coordinator, const PromotionCoordinator::Requests &requests)
+    {
+        for (const auto &request : requests)
+            inFlight.push_back({coordinator, request});
+    }
+
+    void arrive(std::size_t which)
+    {
+        if (inFlight.empty())
+            return;
+        InFlight &message = inFlight[which % inFlight.size()];
+        for (auto &database : databases)
+            if (database.name == message.request.database)
+                message.answer = database.take(message.request.body);
+    }
+
+    void answer(std::size_t which)
+    {
+        if (inFlight.empty())
+            return;
+        const InFlight message = inFlight[which % inFlight.size()];
+        if (!message.answer)
+            return;
+        inFlight.erase(inFlight.begin() + static_cast<std::ptrdiff_t>(which % inFlight.size()));
+        send(message.coordinator,
+             coordinators[message.coordinator].answered(
+                 message.request.database, message.request.body, *message.answer, now));
+    }
+
+    void pull(FakeDatabase &replica)
+    {
+        for (const auto &primary : databases)
+            if (primary.name == replica.primary)
+                replica.pullFrom(primary, 1);
+    }
+
+    void write(FakeDatabase &database)
+    {
+        const std::uint64_t id = writes.size() + 1;
+        const Upstream::Answer answer =
+            database.run(Upstream::Statement{.term = database.knownTerm,
+                                             .kind = Upstream::StatementKind::Write,
+                                             .text = std::to_string(id)});
+        if (answer.verdict == Upstream::Verdict::Done)
+            writes.push_back({answer.status.held, id, {}});
+    }
+
+    void observe(const FakeDatabase &database)
+    {
+        for (auto &write : writes) {
+            if (database.knownTerm == write.mark.term && database.held().term == write.mark.term
+                && database.held().position >= write.mark.position)
+                write.seenAt.insert(database.name);
+        }
+    }
+
+    void check()
+    {
+        for (const auto &database : databases) {
+            if (!database.isPrimaryIn(database.knownTerm))
+                continue;
+            const auto known = primaries.emplace(database.knownTerm, database.name).first;
+            isBroken = isBroken || known->second != database.name;
+            for (const auto &write : writes)
+                isBroken = isBroken
+                    || (write.seenAt.size() >= 2 && write.mark.term < database.knownTerm
+                        && !database.holds(write.mark, write.id));
+        }
+    }
+
+    struct Write
+    {
+        Core::LogMark mark;
+        std::uint64_t id = 0;
+        std::set<Core::DatabaseName> seenAt;
+    };
+
+    Core::Instant now{0};
+    std::vector<FakeDatabase> databases;
+    std::vector<PromotionCoordinator> coordinators;
+    std::vector<InFlight> inFlight;
+    std::vector<Write> writes;
+    std::map<Core::Term, Core::DatabaseName> primaries;
+    bool isBroken = false;
+};
+
+/// Whether any generated interleaving breaks the invariants.
+bool anyOrderIsSafe(const std::string &name, PromotionPolicy policy, int cases, Report report)
+{
+    return holds(name, cases, report, [policy] {
+        const auto coordinatorCount = *rc::gen::inRange<std::size_t>(2, 4);
+        Interleaving run(coordinatorCount, policy);
+        const auto steps = *rc::gen::resize(
+            400,
+            rc::gen::container<std::vector<std::pair<std::size_t, std::size_t>>>(
+                rc::gen::pair(rc::gen::inRange<std::size_t>(0, Interleaving::kinds),
+                              rc::gen::inRange<std::size_t>(0, 60))));
+        for (const auto &[kind, which] : steps) {
+            run.step(kind, which);
+            RC_ASSERT(!run.isBroken);
+        }
+    });
+}
+
+/// One fault or repair of a fleet, chosen by a number.
+void disturb(FakeFleet &fleet, std::size_t kind, std::size_t which)
+{
+    auto &host = fleet.hosts[FakeFleet::database(which % 3)];
+    auto &node = fleet.nodes[which % 3];
+    switch (kind) {
+    case 0:
+        host.isAlive = !host.isAlive;
+        break;
+    case 1:
+        host.isPaused = !host.isPaused;
+        break;
+    case 2:
+        host.latency = Core::Duration(static_cast<std::int64_t>(1 + which * 20));
+        break;
+    case 3:
+        if (node.isPaused)
+            fleet.wake(which % 3);
+        else
+            node.isPaused = true;
+        break;
+    case 4:
+        fleet.cuts.clear();
+        break;
+    case 5:
+        fleet.cut(which % 3, (which + 1) % 3);
+        break;
+    case 6:
+        fleet.platform.mode = static_cast<PlatformMode>(which % 3);
+        break;
+    case 7:
+        fleet.lagging.clear();
+        if (which % 2 == 0)
+            fleet.lagging.insert(FakeFleet::database(which % 3));
+        break;
+    default:
+        fleet.losesAnswer = [count = which](const Upstream::RequestBody & /*body*/) mutable {
+            return ++count % 3 == 0;
+        };
+        if (which % 2 == 0)
+            fleet.losesAnswer = nullptr;
+        break;
+    }
+}
+
+void heal(FakeFleet &fleet)
+{
+    fleet.cuts.clear();
+    fleet.lagging.clear();
+    fleet.losesAnswer = nullptr;
+    fleet.platform.mode = PlatformMode::Up;
+    for (auto &[name, host] : fleet.hosts)
+        host = {};
+    for (std::size_t node = 0; node < fleet.nodes.size(); ++node)
+        fleet.wake(node);
+}
+
+} // namespace
+
+TEST_GROUP(PromotionProperties){};
+
+TEST(PromotionProperties, CoordinatorsInAnyOrder)
+{
+    CHECK(anyOrderIsSafe("CoordinatorsInAnyOrder", {}, 3000, Report::Printed));
+}
+
+TEST(PromotionProperties, AnyOrderFindsEachMissingGuard)
+{
+    for (const auto guard : {&PromotionPolicy::majorityFence, &PromotionPolicy::highestMark,
+                             &PromotionPolicy::oneChoicePerTerm}) {
+        PromotionPolicy unguarded;
+        unguarded.*guard = Guard::Off;
+        CHECK(!anyOrderIsSafe("unguarded", unguarded, 3000, Report::Silent));
+    }
+}
+
+TEST(PromotionProperties, FleetUnderFaults)
+{
+    CHECK(holds("FleetUnderFaults", 60, Report::Printed, [] {
+        FakeFleet fleet;
+        fleet.run(500_ms);
+        fleet.callers = {0, 1, 2};
+        const auto steps =
+            *rc::gen::resize(20,
+                             rc::gen::container<std::vector<std::array<std::size_t, 3>>>(
+                                 rc::gen::container<std::array<std::size_t, 3>>(
+                                     rc::gen::inRange<std::size_t>(0, 45))));
+        for (const auto &[kind, which, span] : steps) {
+            disturb(fleet, kind % 9, which);
+            fleet.run(Core::Duration(static_cast<std::int64_t>(span) * 20));
+            RC_ASSERT(fleet.broken == "");
+        }
+        heal(fleet);
+        fleet.run(15_s);
+        RC_ASSERT(fleet.broken == "");
+        RC_ASSERT(fleet.now - fleet.lastServed < 100_ms);
+    }));
+}
