--- a/Tests/Failover/FakeDatabases.h
+++ b/Tests/Failover/FakeDatabases.h
@@ -37,9 +37,9 @@
         return log.empty() ? Core::LogMark{} : Core::LogMark{log.back().term, log.size()};
     }
 
-    [[nodiscard]] bool holds(std::uint64_t write) const
+    [[nodiscard]] bool holds(Core::LogMark mark, std::uint64_t write) const
     {
-        return std::ranges::any_of(log, [&](const Entry &entry) { return entry.write == write; });
+        return log.size() >= mark.position && log[mark.position - 1] == Entry{mark.term, write};
     }
 
     [[nodiscard]] bool isPrimaryIn(Core::Term term) const
@@ -127,12 +127,14 @@
     }
 };
 
-/// Whether a majority holds the mark in its term: the rule of acknowledgement.
+/// Whether a majority holds the mark in its term: the rule of acknowledgement. A database that
+/// knows a higher term doesn't count.
 [[nodiscard]] inline bool isHeldByMajority(const std::vector<FakeDatabase> &databases,
                                            Core::LogMark mark)
 {
     const auto holders = std::ranges::count_if(databases, [&](const FakeDatabase &database) {
-        return database.held().term == mark.term && database.held().position >= mark.position;
+        return database.knownTerm == mark.term && database.held().term == mark.term
+            && database.held().position >= mark.position;
     });
     return static_cast<std::size_t>(holders) > databases.size() / 2;
 }
