--- a/Libraries/Settings/DaemonSettings.cpp
+++ b/Libraries/Settings/DaemonSettings.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t maximumSampleRatio = 1'000'000;
 constexpr std::int64_t maximumConnectionSetting = 1'000'000;
 constexpr std::size_t digestDigits = 64;
+constexpr std::string_view hexDigits = "0123456789abcdef";
 
 /// Reads values out of one table, and remembers what was asked for, to find unknown names.
 class TableReader
@@ -139,10 +140,15 @@
 
 void readOperators(TableReader &reader, DaemonSettings &settings)
 {
+    settings.node.operatorSalt = reader.requiredText("credential_salt");
+    const auto &salt = settings.node.operatorSalt;
+    if (salt.size() % 2 != 0 || salt.find_first_not_of(hexDigits) != std::string::npos)
+        reader.report(reader.find("credential_salt"), "credential_salt",
+                      "must be lower-case hexadecimal digits, two to a byte");
     settings.node.operatorDigest = reader.requiredText("credential_sha256");
     const auto &digest = settings.node.operatorDigest;
     const bool isDigest = digest.size() == digestDigits
-        && digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+        && digest.find_first_not_of(hexDigits) == std::string::npos;
     if (!digest.empty() && !isDigest)
         reader.report(reader.find("credential_sha256"), "credential_sha256",
                       "must be 64 lower-case hexadecimal digits");
@@ -160,9 +166,9 @@
 void readTrace(TableReader &reader, DaemonSettings &settings)
 {
     settings.spanFile = reader.text("file", "");
-    settings.traceSampleRatio = static_cast<std::uint64_t>(
-        reader.number("sample_one_in", static_cast<std::int64_t>(settings.traceSampleRatio), 1,
-                      maximumSampleRatio));
+    auto &ratio = settings.node.traceSampleOneIn;
+    ratio = static_cast<std::uint64_t>(
+        reader.number("sample_one_in", static_cast<std::int64_t>(ratio), 1, maximumSampleRatio));
 }
 
 enum class Presence {
--- a/Libraries/Settings/DaemonSettings.h
+++ b/Libraries/Settings/DaemonSettings.h
@@ -20,7 +20,6 @@
     std::string platformAddress; ///< IP:port of the platform's service.
     Observe::Severity logLevel = Observe::Severity::Info;
     std::string spanFile;                 ///< Where spans are appended; empty: nowhere.
-    std::uint64_t traceSampleRatio = 100; ///< One trace in so many is sampled.
     std::size_t maximumConnections = 20'000;
 };
 
--- a/Tests/Settings/TestDaemonSettings.cpp
+++ b/Tests/Settings/TestDaemonSettings.cpp
@@ -17,6 +17,7 @@
 [platform]
 address = "127.0.0.1:7000"
 [operators]
+credential_salt = "00ff"
 credential_sha256 = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 [[peer]]
 name = "n2"
@@ -53,10 +54,12 @@
         {"127.0.0.1:7001", "127.0.0.1:99999", "f:5: listen.callers: '99999' is not a port number"},
         {"127.0.0.1:7001", "nothing", "f:5: listen.callers: 'nothing' is not of the form IP:port"},
         {"0123456789abcdef0", "XYZ",
-         "f:11: operators.credential_sha256: must be 64 lower-case "
+         "f:12: operators.credential_sha256: must be 64 lower-case "
          "hexadecimal digits"},
+        {"00ff", "00f", "f:11: operators.credential_salt: must be lower-case hexadecimal digits, two "
+                        "to a byte"},
         {"[platform]\n", "[platfrom]\n", "f:1: platform: is missing"},
-        {"[[peer]]", "[peer]", "f:12: peer: must be written as [[peer]] tables"},
+        {"[[peer]]", "[peer]", "f:13: peer: must be written as [[peer]] tables"},
         {"[platform]", "[log]\nlevel = \"loud\"\n[platform]",
          "f:9: log.level: 'loud' is not a log level; use debug, info, warning or error"},
         {"[listen]", "drain_deadline_ms = -1\n[listen]",
