--- a/Libraries/Configuration/LogCodec.h
+++ b/Libraries/Configuration/LogCodec.h
@@ -23,7 +23,7 @@
 {
     Revision revision = 0; ///< 0: there is no snapshot yet.
     std::uint32_t parts = 0;
-    Revision oldestChange = 0; ///< Changes before this one are deleted.
+    Revision oldestChange = 0; ///< Changes before this one are tombstones.
 };
 
 [[nodiscard]] std::string encodeChange(const Change &);
@@ -32,6 +32,10 @@
 [[nodiscard]] std::string encodeSnapshot(const Snapshot &);
 [[nodiscard]] Core::ErrorOr<SnapshotPointer> decodeSnapshot(std::string_view text);
 
+/// What replaces an old change that a snapshot has made superfluous. The object stays, so that its
+/// number can never be given to another change.
+inline constexpr std::string_view tombstone = "{}";
+
 [[nodiscard]] std::string encodeHead(const Head &);
 [[nodiscard]] Core::ErrorOr<Head> decodeHead(std::string_view text);
 
--- a/Libraries/Configuration/LogReader.cpp
+++ b/Libraries/Configuration/LogReader.cpp
@@ -167,10 +167,11 @@
         readNextChange(now, actions);
         return;
     }
-    if (result == AppendResult::Garbage) {
+    if (result == AppendResult::Garbage && object->value != tombstone) {
         actions.emplace_back(
             Event{EventKind::PlatformGarbage, log_.revision() + 1, "change can't be read"});
     }
+    // What replaces a tombstone is the snapshot, which is read first after the pause.
     pause(now);
 }
 
--- a/Libraries/Configuration/Proposer.cpp
+++ b/Libraries/Configuration/Proposer.cpp
@@ -41,7 +41,7 @@
     created_ = 0;
     mayHaveTakenEffect_ = false;
     winner_.clear();
-    readHead(Step::CheckingHead, now, actions);
+    attempt(now, actions);
 }
 
 void Proposer::tick(Core::Instant now, Actions &actions)
@@ -57,10 +57,12 @@
     const bool isDue = step_ == Step::Pausing && now >= resumeAt_;
     if (!isDue)
         return;
-    if (mayHaveTakenEffect_)
+    // Once the log has come to that number, it tells whose change it is.
+    const bool mustAskAgain = mayHaveTakenEffect_ && log_.revision() < created_;
+    if (mustAskAgain)
         create(now, actions);
     else
-        readHead(Step::CheckingHead, now, actions);
+        attempt(now, actions);
 }
 
 bool Proposer::reply(const Platform::Reply &reply, Core::Instant now, Actions &actions)
@@ -82,10 +84,7 @@
         handleNoAnswer(*failure, now, actions);
         return;
     }
-    if (step_ == Step::Creating)
-        handleCreated(body, now, actions);
-    else
-        handleHead(body, now, actions);
+    handleCreated(body, now, actions);
 }
 
 void Proposer::attempt(Core::Instant now, Actions &actions)
@@ -109,6 +108,7 @@
                now, actions);
         return;
     }
+    mayHaveTakenEffect_ = false;
     text_ = encodeChange(changeFor(proposal, snapshot));
     created_ = snapshot.revision() + 1;
     create(now, actions);
@@ -121,66 +121,29 @@
                    actions);
 }
 
-void Proposer::readHead(Step step, Core::Instant now, Actions &actions)
-{
-    step_ = step;
-    pending_.start(Platform::Get{std::string(headKey)}, now + settings_.callTimeout, actions);
-}
-
-void Proposer::handleHead(const Platform::ReplyBody &body, Core::Instant now, Actions &actions)
-{
-    Head head;
-    const auto *objects = std::get_if<Platform::Objects>(&body);
-    if (objects != nullptr && objects->objects.size() == 1)
-        head = decodeHead(objects->objects.front().value).value_or(Head());
-    if (step_ == Step::Confirming) {
-        if (isInLog(head))
-            accept(created_, now, actions);
-        else
-            undoStaleCreation(now, actions);
-        return;
-    }
-    if (head.revision <= log_.revision()) {
-        attempt(now, actions);
-        return;
-    }
-    needsCatchUp_ = true;
-    pause(now);
-}
-
-/// Whether the creation is part of the log that everybody follows.
-bool Proposer::isInLog(const Head &head) const
-{
-    if (log_.revision() >= created_)
-        return log_.snapshot()->findNonce(jobs_.front().proposal.nonce) == created_;
-    return head.revision < created_;
-}
-
 void Proposer::handleCreated(const Platform::ReplyBody &body, Core::Instant now, Actions &actions)
 {
     if (const auto *conflict = std::get_if<Platform::VersionConflict>(&body)) {
         takeWinner(conflict->current, now, actions);
         return;
     }
-    const auto *objects = std::get_if<Platform::Objects>(&body);
-    if (objects == nullptr) {
+    if (!std::holds_alternative<Platform::Objects>(body)) {
         pause(now);
         return;
     }
-    createdVersion_ = objects->objects.empty() ? 1 : objects->objects.front().version;
-    if (settings_.guards.checksHeadAfterPut)
-        readHead(Step::Confirming, now, actions);
-    else
-        accept(created_, now, actions);
+    accept(created_, now, actions);
 }
 
 void Proposer::takeWinner(const Platform::Object &object, Core::Instant now, Actions &actions)
 {
     if (object.value == text_ && settings_.guards.recognisesNonces) {
         // An earlier attempt of this very change had taken effect.
-        createdVersion_ = object.version;
-        mayHaveTakenEffect_ = true;
-        readHead(Step::Confirming, now, actions);
+        accept(created_, now, actions);
+        return;
+    }
+    if (object.value == tombstone) {
+        needsCatchUp_ = true;
+        pause(now);
         return;
     }
     // The number is somebody else's, so this change can no longer get it.
@@ -194,25 +157,12 @@
         pause(now);
 }
 
-/// The change was created under a number whose holder had been deleted as old. Readers that are up
-/// to date never see it; those that aren't must not.
-void Proposer::undoStaleCreation(Core::Instant now, Actions &actions)
-{
-    actions.emplace_back(
-        Platform::Call{ids_.next(), Platform::Delete{changeKey(created_), createdVersion_}});
-    mayHaveTakenEffect_ = false;
-    needsCatchUp_ = true;
-    pause(now);
-}
-
 void Proposer::handleNoAnswer(const Platform::NoAnswer &failure, Core::Instant now,
                               Actions &actions)
 {
     actions.emplace_back(Event{EventKind::PlatformUnavailable, log_.revision(), failure.message});
     if (step_ == Step::Creating && !failure.isRefused)
         mayHaveTakenEffect_ = true;
-    if (step_ == Step::Confirming)
-        mayHaveTakenEffect_ = true;
     pause(now);
 }
 
@@ -228,10 +178,11 @@
     // The log may have come to hold it by another way, such as a peer.
     const auto known = log_.snapshot()->findNonce(proposal.nonce);
     const bool isKnown = known && settings_.guards.recognisesNonces;
-    const bool isUncertain = mayHaveTakenEffect_ || step_ == Step::Creating;
+    const bool isUncertain =
+        step_ == Step::Creating || (mayHaveTakenEffect_ && log_.revision() < created_);
     if (isKnown) {
         accept(*known, now, actions);
-    } else if (isUncertain || step_ == Step::Confirming) {
+    } else if (isUncertain) {
         finish(plainAnswer(proposal.id, ProposalOutcome::Unknown, log_.revision(),
                            "the platform gave no answer; ask again with the same nonce"),
                now, actions);
--- a/Libraries/Configuration/Proposer.h
+++ b/Libraries/Configuration/Proposer.h
@@ -28,9 +28,7 @@
 private:
     enum class Step {
         Idle,
-        CheckingHead, ///< Before the first attempt: is this node's log too old to go on from?
         Creating,
-        Confirming, ///< After the creation: was its number already below the snapshot?
         Pausing,
     };
     struct Job
@@ -42,14 +40,10 @@
     void begin(Core::Instant now, Actions &);
     void attempt(Core::Instant now, Actions &);
     void create(Core::Instant now, Actions &);
-    void readHead(Step, Core::Instant now, Actions &);
     void handle(const Platform::ReplyBody &, Core::Instant now, Actions &);
-    void handleHead(const Platform::ReplyBody &, Core::Instant now, Actions &);
     void handleCreated(const Platform::ReplyBody &, Core::Instant now, Actions &);
     void handleNoAnswer(const Platform::NoAnswer &, Core::Instant now, Actions &);
     void takeWinner(const Platform::Object &, Core::Instant now, Actions &);
-    [[nodiscard]] bool isInLog(const Head &) const;
-    void undoStaleCreation(Core::Instant now, Actions &);
     void pause(Core::Instant now);
     void expire(Core::Instant now, Actions &);
     void accept(Revision, Core::Instant now, Actions &);
@@ -62,9 +56,8 @@
     std::deque<Job> jobs_; ///< The first is being worked on.
     Step step_ = Step::Idle;
     Core::Instant resumeAt_;
-    std::string text_;     ///< Of the change being created.
-    Revision created_ = 0; ///< Its number.
-    Platform::Version createdVersion_ = 0;
+    std::string text_;                ///< Of the change being created.
+    Revision created_ = 0;            ///< Its number.
     bool mayHaveTakenEffect_ = false; ///< A creation of created_ went without an answer.
     bool needsCatchUp_ = false;
     std::string winner_;
--- a/Libraries/Configuration/Settings.h
+++ b/Libraries/Configuration/Settings.h
@@ -10,11 +10,11 @@
 /// Guards that a test can switch off to show what they prevent. All are on in production.
 struct Guards
 {
-    bool neverGoesBack = true;      ///< Older snapshots and changes are ignored.
-    bool checksChain = true;        ///< A change must follow the one that its author saw.
-    bool recognisesNonces = true;   ///< A change that the log holds already isn't taken again.
-    bool checksHeadAfterPut = true; ///< A change put below the snapshot isn't called accepted.
-    bool checksVersions = true;     ///< A change conflicts if its resources have changed.
+    bool neverGoesBack = true;    ///< Older snapshots and changes are ignored.
+    bool checksChain = true;      ///< A change must follow the one that its author saw.
+    bool recognisesNonces = true; ///< A change that the log holds already isn't taken again.
+    bool keepsTombstones = true;  ///< The number of an old change is never given anew.
+    bool checksVersions = true;   ///< A change conflicts if its resources have changed.
 };
 
 struct Settings
--- a/Libraries/Configuration/SnapshotWriter.cpp
+++ b/Libraries/Configuration/SnapshotWriter.cpp
@@ -159,13 +159,21 @@
         step_ = Step::Idle;
         return;
     }
-    call(Step::Deleting, Platform::Delete{deletions_.front(), version}, now, actions);
+    const std::string &key = deletions_.front();
+    const bool isChange = key.starts_with(changePrefix) && settings_.guards.keepsTombstones;
+    if (isChange)
+        call(Step::Deleting, Platform::Put{key, std::string(tombstone), version}, now, actions);
+    else
+        call(Step::Deleting, Platform::Delete{key, version}, now, actions);
 }
 
 void SnapshotWriter::handleDeleted(const Platform::ReplyBody &body, Core::Instant now,
                                    Actions &actions)
 {
-    if (const auto *conflict = std::get_if<Platform::VersionConflict>(&body)) {
+    const auto *conflict = std::get_if<Platform::VersionConflict>(&body);
+    const bool isStillThere = conflict != nullptr && conflict->current.version != 0
+        && conflict->current.value != tombstone;
+    if (isStillThere) {
         deleteNext(conflict->current.version, now, actions);
         return;
     }
--- a/Tests/Configuration/FakeStore.cpp
+++ b/Tests/Configuration/FakeStore.cpp
@@ -18,8 +18,8 @@
 
 Platform::ReplyBody FakeStore::apply(const Platform::Get &call)
 {
-    const auto place = objects_.find(call.key);
-    if (place == objects_.end())
+    const auto place = readable().find(call.key);
+    if (place == readable().end())
         return Platform::Missing();
     return Platform::Objects{{place->second}, revision_};
 }
@@ -29,9 +29,8 @@
     const auto place = objects_.find(call.key);
     const Platform::Version version = place == objects_.end() ? 0 : place->second.version;
     if (version != call.expected)
-        return Platform::VersionConflict{place == objects_.end()
-                                             ? Platform::Object{call.key, 0, ""}
-                                             : place->second};
+        return Platform::VersionConflict{place == objects_.end() ? Platform::Object{call.key, 0, ""}
+                                                                 : place->second};
     put(call.key, call.value);
     return Platform::Objects{{objects_[call.key]}, revision_};
 }
@@ -68,10 +67,14 @@
 Platform::ReplyBody FakeStore::apply(const Platform::Watch &call)
 {
     Platform::Objects found{{}, revision_};
-    for (const auto &[key, object] : objects_) {
+    if (watchFault == WatchFault::EndsAtOnce)
+        return found;
+    for (const auto &[key, object] : readable()) {
         if (key.starts_with(call.prefix) && changedAt_[key] > call.since)
             found.objects.push_back(object);
     }
+    if (watchFault == WatchFault::Skips && !found.objects.empty())
+        found.objects.erase(found.objects.begin());
     return found;
 }
 
--- a/Tests/Configuration/FakeStore.h
+++ b/Tests/Configuration/FakeStore.h
@@ -16,6 +16,13 @@
     LoseCall,   ///< It doesn't do it, and no answer comes.
 };
 
+/// What is wrong with watches.
+enum class WatchFault {
+    None,
+    Skips,      ///< The first object that has changed is left out.
+    EndsAtOnce, ///< They end at once and tell nothing.
+};
+
 /// The platform's object service in memory, with faults.
 class FakeStore
 {
@@ -37,6 +44,10 @@
     void put(const std::string &key, const std::string &value);
     void erase(const std::string &key) { objects_.erase(key); }
 
+    WatchFault watchFault = WatchFault::None;
+    /// If set, reads are answered from this older copy.
+    std::optional<Contents> readsFrom;
+
 private:
     Platform::ReplyBody apply(const Platform::Get &);
     Platform::ReplyBody apply(const Platform::Put &);
@@ -45,6 +56,8 @@
     Platform::ReplyBody apply(const Platform::Watch &);
     Platform::ReplyBody apply(const Platform::ListVms &);
 
+    [[nodiscard]] const Contents &readable() const { return readsFrom ? *readsFrom : objects_; }
+
     Contents objects_;
     std::map<std::string, Platform::StoreRevision> changedAt_;
     Platform::StoreRevision revision_ = 0;
--- a/Tests/Configuration/Fleet.cpp
+++ b/Tests/Configuration/Fleet.cpp
@@ -70,8 +70,8 @@
 void Fleet::advertise()
 {
     for (auto &[name, node] : nodes_) {
-        const auto target = std::next(nodes_.begin(),
-                                      static_cast<std::ptrdiff_t>(random_.below(nodes_.size())));
+        const auto target =
+            std::next(nodes_.begin(), static_cast<std::ptrdiff_t>(random_.below(nodes_.size())));
         const bool isLost = isCut && isCut(name, target->first);
         if (target->first == name || isLost)
             continue;
@@ -92,10 +92,13 @@
         return true;
     });
     for (PendingReply &pending : due) {
+        const bool isWatch = std::holds_alternative<Platform::Watch>(pending.call.body);
+        if (isWatch && fault)
+            pending.fault = fault(pending.node, pending.call.body);
         auto body = store.run(pending.call.body, pending.fault);
         const auto *found = body ? std::get_if<Platform::Objects>(&*body) : nullptr;
-        const bool isWatch = std::holds_alternative<Platform::Watch>(pending.call.body);
-        const bool hasNothing = isWatch && found != nullptr && found->objects.empty();
+        const bool hasNothing = isWatch && found != nullptr && found->objects.empty()
+            && store.watchFault != WatchFault::EndsAtOnce;
         if (hasNothing && now_ < pending.watchUntil) {
             replies_.push_back(pending);
             continue;
@@ -118,8 +121,8 @@
         return true;
     });
     for (const PendingMessage &pending : due)
-        deliver(pending.message.to.value(), {Core::NodeName(pending.from), 1,
-                                             pending.message.kind, pending.message.payload});
+        deliver(pending.message.to.value(),
+                {Core::NodeName(pending.from), 1, pending.message.kind, pending.message.payload});
 }
 
 void Fleet::deliver(const std::string &name, const Peer::Incoming &incoming)
@@ -208,7 +211,8 @@
         ChangeAction::Put, {Kind::Half, half.value()}, HalfSpec{"http://10.0.0.1:80", 0}, {}};
     const ResourceChange put{
         ChangeAction::Put, {Kind::Team, name}, TeamSpec{half, rate, rate, 1}, {}};
-    return {id, "nonce-" + std::to_string(id), "operator-" + std::to_string(id), {putHalf, put}, {}};
+    return {
+        id, "nonce-" + std::to_string(id), "operator-" + std::to_string(id), {putHalf, put}, {}};
 }
 
 } // namespace Chervilpin::Testing
