Membership: contract tests, and counts of configurations pushed when they change

Counts of which configuration the members have in force spread with one random heartbeat a second; in a fleet of seven some nodes still showed counts more than five seconds old. Counts that tell something new are now pushed like other news, at most twice a second and within the byte budget.

--- a/Libraries/Membership/Manager.cpp
+++ b/Libraries/Membership/Manager.cpp
@@ -14,6 +14,7 @@
 constexpr Core::Duration judgePeriod(100);
 constexpr Core::Duration pauseNoticed(1'500); ///< A longer gap between ticks is a pause.
 constexpr Core::Duration countPeriod(1'000);
+constexpr Core::Duration countPushPause(500); ///< Between two pushes of counts.
 constexpr Core::Duration minStatusPeriod(1'000);
 constexpr std::int64_t statusMillisecondsPerMember = 25;
 constexpr Core::Duration minSyncPeriod(30'000);
@@ -130,7 +131,7 @@
     for (const Update &update : heartbeat->updates)
         mergeUpdate(update, now, actions);
     for (const Summary &summary : heartbeat->summaries)
-        board_.merge(summary, table_);
+        hasCountNews_ = board_.merge(summary, table_) || hasCountNews_;
     const Member *sender = table_.find(incoming.from);
     const bool isOfThisLife =
         sender != nullptr && sender->age.incarnation == heartbeat->sender.age.incarnation;
@@ -226,38 +227,40 @@
     if (now < nextJudge_)
         return;
     nextJudge_ = now + judgePeriod;
-    const std::vector<Member> members(table_.members().begin(), table_.members().end());
-    for (const Member &member : members)
-        judgeMember(member, now, actions);
+    std::vector<Verdict> verdicts;
+    for (const Member &member : table_.members()) {
+        const Health health = judgeMember(member, now);
+        if (health != member.health)
+            verdicts.push_back({member.name, health});
+    }
+    for (const Verdict &verdict : verdicts)
+        changeHealth(verdict.name, verdict.health, now, actions);
     table_.forgetDead(now - settings_.deadRetention);
     std::erase_if(heardAt_, [&](const auto &entry) { return table_.find(entry.first) == nullptr; });
     if (now >= nextCount_) {
         nextCount_ = now + countPeriod;
-        board_.recount(status_, isLeaving_, table_);
+        hasCountNews_ = board_.recount(status_, isLeaving_, table_) || hasCountNews_;
     }
 }
 
-void Manager::judgeMember(const Member &member, Core::Instant now, Actions &actions)
+/// What a member's health should be now, as far as this node can tell.
+Health Manager::judgeMember(const Member &member, Core::Instant now) const
 {
-    const auto watched = watchedSince_.find(member.name);
-    if (member.health == Health::Live && watched != watchedSince_.end()) {
+    if (member.health == Health::Live) {
+        const auto watched = watchedSince_.find(member.name);
+        if (watched == watchedSince_.end())
+            return Health::Live;
         const auto heard = heardAt_.find(member.name);
         const bool wasHeard = heard != heardAt_.end() && heard->second > watched->second;
         const Core::Instant last = wasHeard ? heard->second : watched->second;
-        if (now - last >= settings_.suspectAfter)
-            changeHealth(member.name, Health::Suspected, now, actions);
-        return;
+        return now - last >= settings_.suspectAfter ? Health::Suspected : Health::Live;
     }
     const bool isOverdue = now - member.since >= suspicionTimeout();
-    if (member.health == Health::Suspected && isOverdue) {
-        const Health next = member.isLeaving ? Health::Dead : Health::Unreachable;
-        changeHealth(member.name, next, now, actions);
-        return;
-    }
+    if (member.health == Health::Suspected && isOverdue)
+        return member.isLeaving ? Health::Dead : Health::Unreachable;
     const bool isListFresh = listedAt_ && now - *listedAt_ < settings_.listPeriod * 2;
     const bool isGone = member.health == Health::Unreachable && isListFresh && !member.isListed;
-    if (isGone)
-        changeHealth(member.name, Health::Dead, now, actions);
+    return isGone ? Health::Dead : member.health;
 }
 
 void Manager::changeHealth(const Core::NodeName &name, Health health, Core::Instant now,
@@ -367,12 +370,18 @@
 
 void Manager::pushNews(Core::Instant now, Actions &actions)
 {
-    if (!hasNews_ || now < nextPush_ || budget_.isLow())
+    const bool pushesCounts = hasCountNews_ && now >= nextCountPush_;
+    if (!(hasNews_ || pushesCounts) || now < nextPush_ || budget_.isLow())
         return;
     hasNews_ = false;
     nextPush_ = now + settings_.urgentPause;
+    const Contents contents = pushesCounts ? Contents::WithSummaries : Contents::Plain;
+    if (pushesCounts) {
+        hasCountNews_ = false;
+        nextCountPush_ = now + countPushPause;
+    }
     for (const Core::NodeName &name : chooseRandom(settings_.urgentFanout))
-        send(name, Urgency::Pushed, Contents::Plain, actions);
+        send(name, Urgency::Pushed, contents, actions);
 }
 
 void Manager::reportStatus(Core::Instant now, Actions &actions)
--- a/Libraries/Membership/Manager.h
+++ b/Libraries/Membership/Manager.h
@@ -82,6 +82,11 @@
         Periodic, ///< Is sent as long as the budget lasts.
         Pushed,   ///< Is left out when the budget is low.
     };
+    struct Verdict
+    {
+        Core::NodeName name;
+        Health health = Health::Live;
+    };
     enum class Contents {
         Plain,
         WithSummaries,
@@ -93,7 +98,7 @@
     void spread(const Core::NodeName &);
     void noteChange(const Core::NodeName &, Actions &);
     void judge(Core::Instant now, Actions &);
-    void judgeMember(const Member &, Core::Instant now, Actions &);
+    [[nodiscard]] Health judgeMember(const Member &, Core::Instant now) const;
     void changeHealth(const Core::NodeName &, Health, Core::Instant now, Actions &);
     void beat(Core::Instant now, Actions &);
     void pushNews(Core::Instant now, Actions &);
@@ -126,6 +131,7 @@
     bool isLeaving_ = false;
     bool hasList_ = false; ///< Some peer has sent its list in this life.
     bool hasNews_ = false;
+    bool hasCountNews_ = false;
     std::uint64_t bytesSent_ = 0;
     std::map<Core::NodeName, Core::Instant> heardAt_;
     std::map<Core::NodeName, Core::Instant> watchedSince_; ///< The ring predecessors.
@@ -133,6 +139,7 @@
     Core::Instant lastTick_;
     Core::Instant nextBeat_;
     Core::Instant nextPush_;
+    Core::Instant nextCountPush_;
     Core::Instant nextList_;
     Core::Instant nextStatus_;
     Core::Instant nextSync_;
--- a/Libraries/Membership/StatusBoard.cpp
+++ b/Libraries/Membership/StatusBoard.cpp
@@ -18,6 +18,11 @@
     return std::tuple(summary.incarnation, summary.sequence);
 }
 
+bool tellsTheSame(const Summary &a, const Summary &b)
+{
+    return a.counts == b.counts && a.laggards == b.laggards;
+}
+
 } // namespace
 
 void StatusBoard::note(const Core::NodeName &name, const NodeStatus &status)
@@ -44,27 +49,29 @@
     return best;
 }
 
-void StatusBoard::merge(const Summary &summary, const MemberTable &table)
+bool StatusBoard::merge(const Summary &summary, const MemberTable &table)
 {
     if (summary.aggregator == settings_.self)
-        return;
+        return false;
     const auto [place, isNew] = summaries_.try_emplace(summary.dataCentre, summary);
     if (isNew)
-        return;
+        return true;
     Summary &held = place->second;
     const auto rightful = aggregator(summary.dataCentre, false, table);
     const bool isSameCounter = held.aggregator == summary.aggregator;
     const bool isNews =
         isSameCounter ? orderOf(summary) > orderOf(held) : held.aggregator != rightful;
+    const bool tellsMore = isNews && !tellsTheSame(held, summary);
     if (isNews)
         held = summary;
+    return tellsMore;
 }
 
-void StatusBoard::recount(const NodeStatus &own, bool selfIsLeaving, const MemberTable &table)
+bool StatusBoard::recount(const NodeStatus &own, bool selfIsLeaving, const MemberTable &table)
 {
     std::erase_if(statuses_, [&](const auto &entry) { return table.find(entry.first) == nullptr; });
     if (aggregator(settings_.dataCentre, selfIsLeaving, table) != settings_.self)
-        return;
+        return false;
     std::vector<Laggard> revisions{{settings_.self, own.configurationRevision}};
     for (const Member &member : table.members()) {
         const bool counts = member.dataCentre == settings_.dataCentre
@@ -94,7 +101,10 @@
         else
             summary.counts.push_back({entry->revision, 1});
     }
-    summaries_[settings_.dataCentre] = std::move(summary);
+    Summary &held = summaries_[settings_.dataCentre];
+    const bool tellsMore = !tellsTheSame(held, summary);
+    held = std::move(summary);
+    return tellsMore;
 }
 
 std::vector<Summary> StatusBoard::summaries() const
--- a/Libraries/Membership/StatusBoard.h
+++ b/Libraries/Membership/StatusBoard.h
@@ -19,10 +19,11 @@
 
     /// A member's own word.
     void note(const Core::NodeName &, const NodeStatus &);
-    /// Takes over a count of another data centre's member if it is news.
-    void merge(const Summary &, const MemberTable &);
-    /// Counts anew if this node is its data centre's aggregator.
-    void recount(const NodeStatus &own, bool selfIsLeaving, const MemberTable &);
+    /// Takes over a count if it is news; returns whether it tells anything new.
+    bool merge(const Summary &, const MemberTable &);
+    /// Counts anew if this node is its data centre's aggregator; returns whether it tells anything
+    /// new.
+    bool recount(const NodeStatus &own, bool selfIsLeaving, const MemberTable &);
 
     /// The member that counts a data centre: the best ranked usable one. Empty if there is none.
     [[nodiscard]] Core::NodeName aggregator(const Core::DataCentreName &, bool selfIsLeaving,
--- a/Tests/Configuration/Fleet.cpp
+++ b/Tests/Configuration/Fleet.cpp
@@ -137,7 +137,7 @@
     perform(name, node(name).propose(std::move(proposal), now_));
 }
 
-void Fleet::perform(const std::string &name, Configuration::Actions actions)
+void Fleet::perform(const std::string &name, const Configuration::Actions &actions)
 {
     for (const Configuration::Action &action : actions)
         std::visit([&](const auto &body) { take(name, body); }, action);
--- a/Tests/Configuration/Fleet.h
+++ b/Tests/Configuration/Fleet.h
@@ -67,7 +67,7 @@
         Peer::Outgoing message;
     };
 
-    void perform(const std::string &name, Configuration::Actions actions);
+    void perform(const std::string &name, const Configuration::Actions &actions);
     void take(const std::string &name, const Platform::Call &);
     void take(const std::string &name, const Peer::Outgoing &);
     void take(const std::string &name, const Configuration::Apply &);
--- /dev/null
+++ b/Tests/Membership/MemberFleet.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <Membership/Manager.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Chervilpin::Testing {
+
+/// Several membership managers over a list of VMs and a message queue.
+class MemberFleet
+{
+public:
+    explicit MemberFleet(std::uint64_t seed)
+        : random_(seed)
+    { }
+
+    using Adjust = std::function<void(Membership::Settings &)>;
+    /// Starts a node, in a new life if there was one of that name.
+    Membership::Manager &add(const std::string &name, const Adjust &adjust = {});
+    /// Ends a node without a word.
+    void kill(const std::string &name) { nodes_.erase(name); }
+    /// A paused node gets no ticks; its messages wait.
+    void pause(const std::string &name) { nodes_.at(name).isPaused = true; }
+    void resume(const std::string &name) { nodes_.at(name).isPaused = false; }
+    [[nodiscard]] Membership::Manager &node(const std::string &name)
+    {
+        return *nodes_.at(name).manager;
+    }
+    void run(Core::Duration);
+    void perform(const std::string &name, const Membership::Actions &);
+    void deliver(const std::string &name, const Peer::Incoming &);
+
+    /// Whether all nodes believe a member to be of that health.
+    [[nodiscard]] bool allBelieve(const std::string &member, Membership::Health) const;
+    /// Whether any node has ever believed it.
+    [[nodiscard]] bool anyBelieves(const std::string &member, Membership::Health) const;
+    [[nodiscard]] bool allUsable() const;
+    [[nodiscard]] std::size_t events(Membership::EventKind) const;
+    [[nodiscard]] Core::Instant now() const { return now_; }
+
+    std::vector<Platform::Vm> listed; ///< What the platform lists.
+    bool platformIsDown = false;
+    std::function<bool(const std::string &from, const std::string &to)> isCut;
+    unsigned lossPercent = 0;
+    std::size_t listCalls = 0;
+
+private:
+    struct Node
+    {
+        std::unique_ptr<Membership::Manager> manager;
+        bool isPaused = false;
+    };
+    struct PendingMessage
+    {
+        Core::Instant due;
+        std::string from;
+        Peer::Outgoing message;
+    };
+
+    void step();
+    void take(const std::string &name, const Platform::Call &);
+    void take(const std::string &name, const Peer::Outgoing &);
+    void take(const std::string &, const Membership::MemberChanged &) { }
+    void take(const std::string &, const Membership::PeerStatus &) { }
+    void take(const std::string &, const Membership::Event &);
+
+    Core::Random random_;
+    Core::Instant now_{1'000};
+    std::map<std::string, Node> nodes_;
+    std::vector<PendingMessage> messages_;
+    std::map<Membership::EventKind, std::size_t> events_;
+    Peer::Incarnation lives_ = 0;
+};
+
+[[nodiscard]] Platform::Vm vm(const std::string &name);
+
+} // namespace Chervilpin::Testing
