--- a/Libraries/Operator/Handler.cpp
+++ b/Libraries/Operator/Handler.cpp
@@ -54,6 +54,14 @@
             {"since_ms", age.milliseconds()}};
 }
 
+/// Only the same changes by the same operator with the same nonce are a retry.
+std::string qualifiedNonce(const Configuration::Proposal &proposal)
+{
+    const std::string items = Configuration::encodeChange({0, 0, "", "", proposal.items});
+    const std::uint64_t digest = Configuration::extendDigest(0, items);
+    return proposal.author + ":" + proposal.nonce + ":" + std::to_string(digest);
+}
+
 json::object effect(const Configuration::ResourceChange &item,
                     const Configuration::Resource *before)
 {
@@ -216,8 +224,7 @@
     proposal.author = name.value();
     if (proposal.nonce.empty())
         proposal.nonce = std::to_string(random_.bits());
-    // Two operators may choose the same nonce, but only an own one marks a retry.
-    proposal.nonce = name.value() + ":" + proposal.nonce;
+    proposal.nonce = qualifiedNonce(proposal);
     json::array effects = effectsOf(proposal);
     if (request->mode == RunMode::DryRun) {
         actions.emplace_back(answerToProposal(id, configuration_.check(proposal), effects));
--- a/Utilities/chervilpinctl/Client.cpp
+++ b/Utilities/chervilpinctl/Client.cpp
@@ -18,7 +18,6 @@
 
 constexpr int httpVersion = 11;
 constexpr int attempts = 4;
-constexpr std::chrono::milliseconds firstPause(250);
 constexpr unsigned gatewayTimeout = 504;
 constexpr std::uint64_t maxAnswerBytes = 64UL * 1024 * 1024;
 
@@ -90,10 +89,11 @@
 } // namespace
 
 Client::Client(std::vector<std::string> servers, std::string credential,
-               std::chrono::milliseconds timeout)
+               std::chrono::milliseconds timeout, std::chrono::milliseconds firstPause)
     : servers_(std::move(servers))
     , credential_(std::move(credential))
     , timeout_(timeout)
+    , firstPause_(firstPause)
 { }
 
 tl::expected<Response, Failure> Client::send(const Request &request) const
@@ -111,11 +111,11 @@
 tl::expected<Response, Failure> Client::sendUntilKnown(const Request &request) const
 {
     bool mayHaveTakenEffect = false;
-    auto pause = firstPause;
+    auto pause = firstPause_;
     auto last = send(request);
     for (int attempt = 1; attempt < attempts; ++attempt) {
-        const bool isUnknown = last ? last->status == gatewayTimeout
-                                    : last.error().kind == FailureKind::AnswerLost;
+        const bool isUnknown =
+            last ? last->status == gatewayTimeout : last.error().kind == FailureKind::AnswerLost;
         mayHaveTakenEffect = mayHaveTakenEffect || isUnknown;
         const bool isSettled = last ? !isUnknown : !mayHaveTakenEffect;
         if (isSettled)
--- a/Utilities/chervilpinctl/Client.h
+++ b/Utilities/chervilpinctl/Client.h
@@ -36,9 +36,10 @@
 class Client
 {
 public:
-    /// \a servers are IP:port; the next is tried when one can't be reached.
+    /// \a servers are IP:port; the next is tried when one can't be reached. \a firstPause is before
+    /// the second try of a request whose outcome is unknown, and doubles with each.
     Client(std::vector<std::string> servers, std::string credential,
-           std::chrono::milliseconds timeout);
+           std::chrono::milliseconds timeout, std::chrono::milliseconds firstPause);
 
     /// Sends once to the first server that can be reached.
     [[nodiscard]] tl::expected<Response, Failure> send(const Request &) const;
@@ -52,6 +53,7 @@
     std::vector<std::string> servers_;
     std::string credential_;
     std::chrono::milliseconds timeout_;
+    std::chrono::milliseconds firstPause_;
 };
 
 } // namespace Chervilpin::Control
--- a/Utilities/chervilpinctl/Commands.cpp
+++ b/Utilities/chervilpinctl/Commands.cpp
@@ -266,7 +266,9 @@
     bool isFirst = true;
     while (isFirst || options.changes == 0 || seen < options.changes) {
         const std::string wait = isFirst ? "0" : std::to_string(watchMilliseconds);
-        const auto body = fetch("/v1/watch?since=" + since + "&wait_ms=" + wait + kind);
+        std::string target = "/v1/watch?since=";
+        target.append(since).append("&wait_ms=").append(wait).append(kind);
+        const auto body = fetch(target);
         if (!body)
             return body.error();
         since = plainText(body->at("revision"));
@@ -348,7 +350,9 @@
         return code;
     }
     if (console_.output == Output::Json)
-        console_.out << json::serialize(json::object{{"name", name}, {"credential", credential->text}}) << "\n";
+        console_.out << json::serialize(
+            json::object{{"name", name}, {"credential", credential->text}})
+                     << "\n";
     else
         console_.out << credential->text << "\n";
     return code;
--- a/Utilities/chervilpinctl/Commands.h
+++ b/Utilities/chervilpinctl/Commands.h
@@ -33,8 +33,8 @@
 
 struct WatchOptions
 {
-    std::string kind;         ///< Empty: all kinds.
-    unsigned changes = 0;     ///< End after that many; 0: go on.
+    std::string kind;     ///< Empty: all kinds.
+    unsigned changes = 0; ///< End after that many; 0: go on.
 };
 
 struct DeleteOptions
--- a/Utilities/chervilpinctl/ResourceFile.cpp
+++ b/Utilities/chervilpinctl/ResourceFile.cpp
@@ -53,8 +53,11 @@
     {
         json::object object;
         for (const auto &[key, node] : table) {
-            const std::string name(key.str());
-            object[name] = read(node, path.empty() ? name : path + "." + name);
+            std::string field = path;
+            if (!path.empty())
+                field += ".";
+            field += key.str();
+            object[key.str()] = read(node, field);
         }
         return object;
     }
@@ -96,7 +99,9 @@
     if (place == std::string_view::npos)
         return 0;
     offset = place + quoted.size();
-    return 1 + static_cast<unsigned>(std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(place), '\n'));
+    return 1
+        + static_cast<unsigned>(
+               std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(place), '\n'));
 }
 
 /// JSON gives no places, so a resource is found by its name.
@@ -167,8 +172,9 @@
     }
     const json::array *list = findList(document);
     if (list == nullptr) {
-        return tl::unexpected(single({file, 1}, "holds no list of resources",
-                                     "write each resource as [[resource]] with kind, name and spec"));
+        return tl::unexpected(
+            single({file, 1}, "holds no list of resources",
+                   "write each resource as [[resource]] with kind, name and spec"));
     }
     if (isJson)
         placeJsonResources(file, text, *list, places);
--- a/Utilities/chervilpinctl/Table.cpp
+++ b/Utilities/chervilpinctl/Table.cpp
@@ -161,9 +161,9 @@
     for (const json::value &entry : arrayOf(status, "conditions")) {
         const json::object &condition = entry.as_object();
         stream << "  " << std::setw(fieldWidth) << textOf(condition, "type")
-               << textOf(condition, "status") << " (" << textOf(condition, "reason") << "): "
-               << textOf(condition, "message") << ", since " << textOf(condition, "since_ms")
-               << " ms\n";
+               << textOf(condition, "status") << " (" << textOf(condition, "reason")
+               << "): " << textOf(condition, "message") << ", since "
+               << textOf(condition, "since_ms") << " ms\n";
     }
 }
 
--- a/Utilities/chervilpinctl/main.cpp
+++ b/Utilities/chervilpinctl/main.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int defaultTimeoutMilliseconds = 12'000;
+constexpr std::chrono::milliseconds firstPause(250);
 
 constexpr const char *footer = R"(Examples:
   chervilpinctl apply -f teams.toml -f routes.toml --dry-run
@@ -110,7 +111,7 @@
             return app_.exit(error) == 0 ? 0 : static_cast<int>(ExitCode::Usage);
         }
         const Client client(split(options_.server), readCredential(options_),
-                            std::chrono::milliseconds(options_.timeoutMilliseconds));
+                            std::chrono::milliseconds(options_.timeoutMilliseconds), firstPause);
         Console console{std::cout, std::cerr,
                         options_.output == "json" ? Output::Json : Output::Table};
         Commands commands(client, console);
@@ -139,9 +140,8 @@
         apply->add_flag("--dry-run", options_.apply.isDryRun, "Check only; change nothing");
         apply->add_option("--nonce", options_.apply.nonce,
                           "Repeat an apply whose outcome is unknown");
-        addFiles(add("diff", "Show what apply would change", [this](Commands &commands) {
-            return commands.diff(options_.apply.files);
-        }));
+        addFiles(add("diff", "Show what apply would change",
+                     [this](Commands &commands) { return commands.diff(options_.apply.files); }));
         auto *remove = add("delete", "Delete a resource",
                            [this](Commands &commands) { return commands.remove(options_.remove); });
         remove->add_option("kind", options_.remove.kind)->required();
@@ -152,14 +152,15 @@
 
     void addReads()
     {
-        auto *get = add("get", "Show resources of a kind, or one",
-                        [this](Commands &commands) { return commands.get(options_.kind, options_.name); });
+        auto *get = add("get", "Show resources of a kind, or one", [this](Commands &commands) {
+            return commands.get(options_.kind, options_.name);
+        });
         get->add_option("kind", options_.kind)->required();
         get->add_option("name", options_.name);
-        auto *describe = add("describe", "Show one resource with its status",
-                             [this](Commands &commands) {
-                                 return commands.describe(options_.kind, options_.name);
-                             });
+        auto *describe =
+            add("describe", "Show one resource with its status", [this](Commands &commands) {
+                return commands.describe(options_.kind, options_.name);
+            });
         describe->add_option("kind", options_.kind)->required();
         describe->add_option("name", options_.name)->required();
         auto *watch = add("watch", "Show changes as they come in force",
@@ -176,10 +177,10 @@
 
     void addCredentials()
     {
-        auto *key = add("create-key", "Make a key for a team and show it once",
-                        [this](Commands &commands) {
-                            return commands.createKey(options_.team, options_.name);
-                        });
+        auto *key =
+            add("create-key", "Make a key for a team and show it once", [this](Commands &commands) {
+                return commands.createKey(options_.team, options_.name);
+            });
         key->add_option("team", options_.team)->required();
         key->add_option("--name", options_.name, "Name of the key; random if left out");
         auto *person = add("create-operator", "Make an operator's credential and show it once",
