Every promise of the data path over generated schedules

Two proxies, three roaming sessions and a fake group of three are played by generated steps: writes, reads of each freshness, lost answers, replication, fences, promotions. Each promise is checked after each step; with a guard off, schedules break it.

Found and mended on the way: an aged read without a usable token was served as strong only, and a strong read that took longer than the stated age broke the bound; both are now checked, and a confirmed read is judged once more. Strong samples of a term that a majority is fenced above are not used.

Found for the databases' contract: a replica must pass from the old log to the new one in one step, to at least what the new primary was promoted with. Otherwise it either seems to hold what the superseded primary logged, or outranks databases that hold more; both lose acknowledged writes.

--- a/Libraries/Route/AgeLedger.cpp
+++ b/Libraries/Route/AgeLedger.cpp
@@ -43,6 +43,13 @@
     return samples_.back();
 }
 
+std::optional<Sample> AgeLedger::latest() const
+{
+    if (samples_.empty())
+        return std::nullopt;
+    return samples_.back();
+}
+
 std::optional<Core::Instant> AgeLedger::firstSeen(Core::LogMark mark) const
 {
     // NOTE: Answers that overtook each other can leave neighbours out of order; the result is then
--- a/Libraries/Route/AgeLedger.h
+++ b/Libraries/Route/AgeLedger.h
@@ -28,6 +28,7 @@
     [[nodiscard]] std::optional<Sample> oldestSince(Core::Instant since) const;
     /// The latest sample, if it was asked for after the stamp.
     [[nodiscard]] std::optional<Sample> latestAfter(const Stamp &since) const;
+    [[nodiscard]] std::optional<Sample> latest() const;
     /// The highest mark of all samples.
     [[nodiscard]] std::optional<Core::LogMark> highestMark() const { return highestMark_; }
     /// When a primary was first seen to hold the mark or a later one.
--- a/Libraries/Route/ReadVerification.cpp
+++ b/Libraries/Route/ReadVerification.cpp
@@ -15,24 +15,30 @@
         && status.held.term == term;
 }
 
-ReadVerdict verifyAge(const ReadDemand &demand, const Stamp &asked, const GroupView &view,
-                      Core::Instant now)
+/// Whether no later primary can have acknowledged anything that the sample lacks.
+bool isCurrent(const ReadDemand &demand, const GroupView &view, ReadGuard guard)
+{
+    return guard == ReadGuard::WithoutCurrency || view.wasCurrentAfter(demand.term, demand.arrived);
+}
+
+bool isYoungEnough(const ReadDemand &demand, const Stamp &asked, const GroupView &view,
+                   Core::Instant now, ReadGuard guard)
 {
     const Core::Instant oldest = now + clockGrain - demand.maximumAge;
     const bool isOwnSample = demand.origin == SampleOrigin::OwnAnswer;
     const Core::Instant sampledAt = isOwnSample ? asked.at : demand.sampledAt;
     if (sampledAt < oldest)
-        return ReadVerdict::Reject;
-    return view.wasCurrentSince(demand.term, oldest) ? ReadVerdict::Release : ReadVerdict::Reject;
+        return false;
+    return guard == ReadGuard::WithoutCurrency || view.wasCurrentSince(demand.term, oldest);
 }
 
 ReadVerdict verifyStrong(const ReadDemand &demand, const Upstream::Status &status,
-                         const GroupView &view)
+                         const GroupView &view, ReadGuard guard)
 {
     // The caller must not see entries that a promotion could drop.
     if (view.canNeverBeHeldByMajority(status.held))
         return ReadVerdict::Reject;
-    if (view.isHeldByMajority(status.held) && view.wasCurrentAfter(demand.term, demand.arrived))
+    if (view.isHeldByMajority(status.held) && isCurrent(demand, view, guard))
         return ReadVerdict::Release;
     return ReadVerdict::Confirm;
 }
@@ -44,19 +50,37 @@
 {
     if (guard == ReadGuard::Off)
         return ReadVerdict::Release;
-    if (!contains(status.held, demand.mark))
+    if (!contains(status.held, markToCheck(demand, guard)))
         return ReadVerdict::Reject;
     if (demand.origin == SampleOrigin::OwnAnswer && !isPrimaryOf(status, demand.term))
         return ReadVerdict::Reject;
-    switch (demand.freshness) {
-    case Engine::Freshness::Session:
-        return ReadVerdict::Release;
-    case Engine::Freshness::StatedAge:
-        return verifyAge(demand, asked, view, now);
-    case Engine::Freshness::Strong:
-        return verifyStrong(demand, status, view);
+    // A strong read that took long can be older than a stated age, so that both are checked.
+    const bool isAged =
+        demand.freshness == Engine::Freshness::StatedAge || demand.maximumAge > Core::Duration(0);
+    if (isAged && !isYoungEnough(demand, asked, view, now, guard))
+        return ReadVerdict::Reject;
+    if (demand.freshness == Engine::Freshness::Strong)
+        return verifyStrong(demand, status, view, guard);
+    return ReadVerdict::Release;
+}
+
+Core::LogMark markToCheck(const ReadDemand &demand, ReadGuard guard)
+{
+    switch (guard) {
+    case ReadGuard::On:
+    case ReadGuard::WithoutCurrency:
+        return demand.mark;
+    case ReadGuard::WithoutTerms:
+        return {0, demand.mark.position};
+    case ReadGuard::Off:
+        break;
     }
-    return ReadVerdict::Reject;
+    return {};
+}
+
+Core::LogMark coveredMark(const ReadDemand &demand, const Upstream::Status &status)
+{
+    return demand.origin == SampleOrigin::OwnAnswer ? status.held : demand.mark;
 }
 
 } // namespace Chervilpin::Route
--- a/Libraries/Route/Router.cpp
+++ b/Libraries/Route/Router.cpp
@@ -24,6 +24,21 @@
     return primary;
 }
 
+bool needsStrong(const RouteRequest &request)
+{
+    // A token that can't be read, or none, leaves unknown what the session wrote.
+    if (request.freshness == Engine::Freshness::Strong || !request.tokenMark)
+        return true;
+    return request.freshness == Engine::Freshness::StatedAge
+        && request.maximumAge <= Core::Duration(0);
+}
+
+Core::Duration statedAge(const RouteRequest &request)
+{
+    const bool isStated = request.freshness == Engine::Freshness::StatedAge;
+    return isStated ? request.maximumAge : Core::Duration(0);
+}
+
 bool isHeldByAny(const GroupView &view, Core::LogMark mark)
 {
     return std::ranges::any_of(view.databases(), [&](const auto &entry) {
@@ -45,8 +60,7 @@
         return refuse(Engine::RefusalReason::DeadlinePassed);
     if (request.kind != Engine::RequestKind::Read)
         return routeToPrimary(request, view);
-    // A token that can't be read, or none, leaves unknown what the session wrote.
-    if (request.freshness == Engine::Freshness::Strong || !request.tokenMark)
+    if (needsStrong(request))
         return routeStrongRead(request, view, now);
     if (request.freshness == Engine::Freshness::StatedAge)
         return routeAgedRead(request, view, now);
@@ -69,12 +83,7 @@
                             .arrived = request.arrived};
     if (auto sent = sendToReplica(request, demand, view, now))
         return *sent;
-    const auto primary = usablePrimary(request, view);
-    const bool isAtPrimary =
-        primary && contains(view.databases().at(primary->database).status()->held, demand.mark);
-    if (isAtPrimary)
-        return sendReadToPrimary(request, demand, view, now);
-    return lookForFutureMark(request, view, now);
+    return sendReadToPrimary(request, demand, view, now);
 }
 
 RouteDecision Router::routeStrongRead(const RouteRequest &request, const GroupView &view,
@@ -82,7 +91,8 @@
 {
     const auto primary = usablePrimary(request, view);
     if (mayUseReplicas(request)) {
-        if (const auto sample = view.samples().latestAfter(request.arrived))
+        const auto sample = view.samples().latestAfter(request.arrived);
+        if (sample && !view.isFencedAbove(sample->mark.term))
             return routeSampledRead(request, *sample, view, now);
         const auto replicas = eligibleReplicas(view, request.excluded, {}, Core::Duration(0), now);
         if (primary && !replicas.empty())
@@ -94,6 +104,7 @@
                             .mark = request.tokenMark.value_or(Core::LogMark{}),
                             .term = primary->term,
                             .arrived = request.arrived,
+                            .maximumAge = statedAge(request),
                             .origin = SampleOrigin::OwnAnswer};
     return sendReadToPrimary(request, demand, view, now);
 }
@@ -104,8 +115,13 @@
     const auto primary = usablePrimary(request, view);
     if (mayUseReplicas(request)) {
         const Core::Instant oldest = now + options_.serviceAllowance - request.maximumAge;
-        if (const auto sample = view.samples().oldestSince(oldest))
-            return routeSampledRead(request, *sample, view, now);
+        const auto sample = view.samples().oldestSince(oldest);
+        const auto latest = view.samples().latest();
+        // The oldest sample asks least. After a promotion it may ask for entries that were never
+        // acknowledged and are gone; then the latest asks for what there is.
+        const bool isOutdated = sample && latest->mark.term > sample->mark.term;
+        if (sample)
+            return routeSampledRead(request, isOutdated ? *latest : *sample, view, now);
         const auto replicas = eligibleReplicas(view, request.excluded, {}, Core::Duration(0), now);
         const bool isWorthSampling = request.maximumAge > options_.serviceAllowance;
         if (primary && isWorthSampling && !replicas.empty())
@@ -132,7 +148,7 @@
                       .term = sample.mark.term,
                       .arrived = request.arrived,
                       .sampledAt = sample.asked.at,
-                      .maximumAge = request.maximumAge};
+                      .maximumAge = statedAge(request)};
     const Core::LogMark tokenMark = request.tokenMark.value_or(Core::LogMark{});
     // Where a term differs, the later term with the higher position is enough for both.
     demand.mark = {std::max(sample.mark.term, tokenMark.term),
@@ -156,11 +172,12 @@
     if (!primary)
         return refuse(Engine::RefusalReason::NoPrimary);
     const Core::LogMark held = view.databases().at(primary->database).status()->held;
-    if (options_.guard == ReadGuard::On && !contains(held, demand.mark))
+    const Core::LogMark atLeast = markToCheck(demand, options_.guard);
+    if (!contains(held, atLeast))
         return lookForFutureMark(request, view, now);
     return SendTo{.database = primary->database,
                   .term = primary->term,
-                  .atLeast = options_.guard == ReadGuard::On ? demand.mark : Core::LogMark{},
+                  .atLeast = atLeast,
                   .wait = Core::Duration(0),
                   .demand = demand};
 }
@@ -189,8 +206,7 @@
 {
     if (!mayUseReplicas(request))
         return std::nullopt;
-    const bool isGuarded = options_.guard == ReadGuard::On;
-    const Core::LogMark atLeast = isGuarded ? demand.mark : Core::LogMark{};
+    const Core::LogMark atLeast = markToCheck(demand, options_.guard);
     const Core::Duration wait = std::min(options_.catchUpWait, request.deadline - now);
     // A mark that no sample covers may be forged. It is worth one try, since a write through
     // another proxy looks the same.
--- /dev/null
+++ b/Tests/Confirm/TestAcknowledgementProperties.cpp
@@ -0,0 +1,56 @@
+#include <Tests/Fakes/ScheduleProperty.h>
+
+#include <CppUTest/TestHarness.h>
+#include <memory>
+
+using namespace Chervilpin;
+using Fakes::Promise;
+using Fakes::ScheduleOptions;
+using Fakes::TermAdoption;
+
+namespace {
+
+constexpr Fakes::PropertyOptions propertyOptions{.seed = 4, .cases = 2000};
+
+template<typename Policy>
+ScheduleOptions withPolicy()
+{
+    ScheduleOptions options;
+    options.policy = [] {
+        return std::make_unique<Policy>();
+    };
+    return options;
+}
+
+} // namespace
+
+TEST_GROUP(AcknowledgementProperties){};
+
+TEST(AcknowledgementProperties, HoldWithTheMajority)
+{
+    Fakes::ScheduleCounts counts;
+    CHECK(Fakes::keepsAll({}, propertyOptions, counts));
+    // The schedules are of use only if much happens in them.
+    CHECK(counts.acknowledged > 2000);
+    CHECK(counts.promotions > 1000);
+    CHECK(counts.unknown > 1000);
+}
+
+TEST(AcknowledgementProperties, LoseWritesAcknowledgedAtTheCommit)
+{
+    const auto options = withPolicy<Confirm::AcknowledgeAtCommit>();
+    CHECK(Fakes::canBreak(Promise::NothingLost, options, propertyOptions));
+}
+
+TEST(AcknowledgementProperties, LoseWritesAcknowledgedAfterATermCheck)
+{
+    const auto options = withPolicy<Confirm::AcknowledgeAfterTermCheck>();
+    CHECK(Fakes::canBreak(Promise::NothingLost, options, propertyOptions));
+}
+
+TEST(AcknowledgementProperties, LoseWritesIfReplicasTakeATermBeforeItsLog)
+{
+    ScheduleOptions options;
+    options.adoption = TermAdoption::TermFirst;
+    CHECK(Fakes::canBreak(Promise::NothingLost, options, propertyOptions));
+}
--- a/Tests/Confirm/TestConfirmationTracker.cpp
+++ b/Tests/Confirm/TestConfirmationTracker.cpp
@@ -150,3 +150,25 @@
     observeAll();
     CHECK(review().superseded == Ids{5});
 }
+
+TEST(ConfirmationTracker, RestsOnReplicasThatPassToANewLogAtOnce)
+{
+    // Found by the generated schedules: a replica that got entries of a later log while it still
+    // named the old term would seem to hold the old primary's write.
+    using Fakes::TermAdoption;
+    for (const TermAdoption adoption : {TermAdoption::AtOnce, TermAdoption::EntriesFirst}) {
+        group = Fakes::FakeGroup(3, adoption);
+        view = Route::GroupView(Core::GroupName("registry-1"), group.names());
+        tracker = ConfirmationTracker({}, std::make_unique<AcknowledgeAtMajority>());
+        group.promoteWithout(0, 2);
+        writeAndTrack(1);
+        for (const char *const text : {"2", "3"})
+            group.execute(1, {.term = 2, .kind = Upstream::StatementKind::Write, .text = text});
+        group.promoteWithout(0, 3);
+        group.follow(2, 3, 1);
+        group.pull(2, 1);
+        observe(2);
+        const bool isSafe = adoption == TermAdoption::AtOnce;
+        CHECK(review().confirmed == (isSafe ? Ids{} : Ids{1}));
+    }
+}
--- /dev/null
+++ b/Tests/Execute/Depends.cmake
@@ -0,0 +1,1 @@
+set(testDepends Session Route Confirm Execute rapidcheck)
--- a/Tests/Fakes/FakeGroup.h
+++ b/Tests/Fakes/FakeGroup.h
@@ -16,6 +16,18 @@
 /// A write as the fake databases log it; its text is the number.
 using WriteNumber = std::uint64_t;
 
+/// How a replica that was told to follow a new primary passes from the old log to the new one.
+enum class TermAdoption {
+    /// In one step, to at least the log that the primary was promoted with. The contract.
+    AtOnce,
+    /// Entry by entry under the new term: it outranks, in a later promotion, databases that hold
+    /// more. Only for tests that show what breaks.
+    TermFirst,
+    /// Entry by entry under the old term: it seems to hold what the old primary logged there. Only
+    /// for tests that show what breaks.
+    EntriesFirst,
+};
+
 /// One database of a FakeGroup.
 struct FakeDatabase
 {
@@ -33,6 +45,7 @@
     Core::Term followedTerm = 1;
     std::size_t followed = 0; ///< Index of the primary it follows.
     std::vector<Entry> log;
+    std::size_t promotedWith = 0; ///< The length of its log when it was promoted last.
 
     [[nodiscard]] Core::LogMark held() const { return {logTerm, log.size()}; }
     [[nodiscard]] bool isPrimary() const
@@ -53,7 +66,8 @@
 class FakeGroup
 {
 public:
-    explicit FakeGroup(std::size_t size = 3)
+    explicit FakeGroup(std::size_t size = 3, TermAdoption adoption = TermAdoption::AtOnce)
+        : adoption_(adoption)
     {
         for (std::size_t index = 0; index < size; ++index)
             databases_.push_back({.name = Core::DatabaseName("database-" + std::to_string(index))});
@@ -120,11 +134,13 @@
         if (!primary.isPrimary() || primary.knownTerm != replica.followedTerm)
             return false;
         dropForeignEntries(replica, primary);
-        replica.role = Upstream::Role::Replica;
-        replica.logTerm = primary.knownTerm;
-        const std::size_t end = std::min(primary.log.size(), replica.log.size() + entries);
+        std::size_t end = std::min(primary.log.size(), replica.log.size() + entries);
+        if (adoption_ == TermAdoption::AtOnce)
+            end = std::max(end, primary.promotedWith);
         for (std::size_t place = replica.log.size(); place < end; ++place)
             replica.log.push_back(primary.log[place]);
+        if (end >= primary.promotedWith || adoption_ == TermAdoption::TermFirst)
+            replica.logTerm = primary.knownTerm;
         return true;
     }
 
@@ -143,6 +159,7 @@
         if (term != database.knownTerm)
             return answer(index, Upstream::Verdict::NotRun, Upstream::Reason::Superseded);
         database.role = Upstream::Role::Primary;
+        database.promotedWith = database.log.size();
         database.logTerm = term;
         database.followed = index;
         database.followedTerm = term;
@@ -217,6 +234,7 @@
         replica.log.resize(common);
     }
 
+    TermAdoption adoption_;
     std::vector<FakeDatabase> databases_;
     std::map<WriteNumber, std::uint64_t> executions_;
 };
--- a/Tests/Fakes/SeededProperty.h
+++ b/Tests/Fakes/SeededProperty.h
@@ -40,4 +40,20 @@
     return false;
 }
 
+/// Whether a property that ought to fail does so within the cases; for runs with a guard off.
+template<typename Property>
+[[nodiscard]] bool breaks(const char *name, const PropertyOptions &options, Property &&property)
+{
+    rc::detail::TestMetadata metadata;
+    metadata.id = name;
+    rc::detail::TestParams parameters;
+    parameters.seed = options.seed;
+    parameters.maxSuccess = options.cases;
+    parameters.maxSize = options.maximumSize;
+    parameters.disableShrinking = true;
+    const auto result =
+        rc::detail::checkTestable(std::forward<Property>(property), metadata, parameters);
+    return result.template is<rc::detail::FailureResult>();
+}
+
 } // namespace Chervilpin::Fakes
--- a/Tests/Route/Depends.cmake
+++ b/Tests/Route/Depends.cmake
@@ -1,1 +1,1 @@
-set(testDepends rapidcheck)
+set(testDepends Session Route Confirm Execute rapidcheck)
--- a/Tests/Route/TestRouter.cpp
+++ b/Tests/Route/TestRouter.cpp
@@ -2,6 +2,7 @@
 #include <Tests/Fakes/FakeGroup.h>
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <variant>
 
 using namespace Chervilpin;
@@ -161,6 +162,59 @@
     }
 }
 
+TEST(Router, ReadsNoSupersededPrimaryThatHasAsManyEntries)
+{
+    write(3);
+    observe(0);
+    const std::size_t promoted = group.promoteWithout(0, 2);
+    const auto written =
+        group.execute(promoted, {.term = 2, .kind = Upstream::StatementKind::Write, .text = "77"});
+    const LogMark token = written.status.held;
+    // This proxy has heard nothing of the promotion; the session wrote through another.
+    for (const ReadGuard guard : {ReadGuard::On, ReadGuard::WithoutTerms}) {
+        router = Route::Router({.guard = guard}, Core::Random(3));
+        const RouteRequest request = read(Freshness::Session, token);
+        const auto decision = route(request);
+        const auto *const sent = std::get_if<SendTo>(&decision);
+        CHECK((sent != nullptr) == (guard == ReadGuard::WithoutTerms));
+        if (sent == nullptr)
+            continue;
+        const auto answer = group.execute(group.indexOf(sent->database),
+                                          {.term = sent->term, .atLeast = sent->atLeast});
+        CHECK(answer.verdict == Upstream::Verdict::Done);
+        CHECK(std::ranges::find(answer.rows, "77") == answer.rows.end());
+        const Stamp asked = stamps.next(now);
+        CHECK(verifyRead(sent->demand, answer.status, asked, view, now, guard)
+              == ReadVerdict::Release);
+        CHECK(verifyRead(sent->demand, answer.status, asked, view, now) == ReadVerdict::Reject);
+    }
+}
+
+TEST(Router, ReleasesNoReadOfAPrimaryThatMayBeSuperseded)
+{
+    observeAll();
+    const std::size_t promoted = group.promoteWithout(0, 2);
+    group.execute(promoted, {.term = 2, .kind = Upstream::StatementKind::Write, .text = "77"});
+    now = now + Duration(5000);
+    router = Route::Router({.strategy = ReadStrategy::PrimaryOnly}, Core::Random(3));
+    struct Case
+    {
+        Freshness freshness;
+        ReadVerdict verdict;
+    };
+    for (const Case &item : {Case{Freshness::Strong, ReadVerdict::Confirm},
+                             Case{Freshness::StatedAge, ReadVerdict::Reject}}) {
+        const auto sent = std::get<SendTo>(route(read(item.freshness, LogMark{})));
+        const Stamp asked = stamps.next(now);
+        const auto answer = group.execute(group.indexOf(sent.database), {.term = sent.term});
+        CHECK(answer.verdict == Upstream::Verdict::Done);
+        view.observe(sent.database, answer.status, asked, now);
+        CHECK(verifyRead(sent.demand, answer.status, asked, view, now) == item.verdict);
+        CHECK(verifyRead(sent.demand, answer.status, asked, view, now, ReadGuard::WithoutCurrency)
+              == ReadVerdict::Release);
+    }
+}
+
 TEST(Router, LeavesASlowReplicaAndComesBackToIt)
 {
     observeAll();
