--- a/Libraries/Confirm/ConfirmationTracker.cpp
+++ b/Libraries/Confirm/ConfirmationTracker.cpp
@@ -47,24 +47,23 @@
     if (waiting_.empty())
         return requests;
     for (const auto &[name, database] : view.databases()) {
-        if (!database.isReachable() || !mayAsk(name, now))
+        if (!database.isReachable() || !mayAsk(database, now))
             continue;
         const auto query = queryFor(database, now);
         if (!query)
             continue;
-        queries_[name].isOutstanding = true;
+        queries_[name] = {.isOutstanding = true, .started = now, .atLeast = query->atLeast};
         requests.push_back({name, *query});
     }
     return requests;
 }
 
 void ConfirmationTracker::queryEnded(const Core::DatabaseName &database, QueryEnd end,
-                                     Core::Instant now)
+                                     Core::Instant)
 {
     QueryState &state = queries_[database];
     state.isOutstanding = false;
-    if (end == QueryEnd::Failed)
-        state.notBefore = now + options_.queryPause;
+    state.end = end;
 }
 
 ConfirmationTracker::Need ConfirmationTracker::need(const Confirmable &waiting,
@@ -101,12 +100,20 @@
     return query;
 }
 
-bool ConfirmationTracker::mayAsk(const Core::DatabaseName &database, Core::Instant now) const
+bool ConfirmationTracker::mayAsk(const Route::DatabaseView &database, Core::Instant now) const
 {
-    const auto state = queries_.find(database);
-    if (state == queries_.end())
+    const auto found = queries_.find(database.name());
+    if (found == queries_.end())
         return true;
-    return !state->second.isOutstanding && now >= state->second.notBefore;
+    const QueryState &state = found->second;
+    if (state.isOutstanding)
+        return false;
+    // A database that answers without having waited is not asked in a tight loop.
+    const bool asksForMark = state.atLeast != Core::LogMark{};
+    const bool isInVain = asksForMark && !database.evidence().held(state.atLeast);
+    if (state.end == QueryEnd::Answered && !isInVain)
+        return true;
+    return now >= state.started + options_.queryPause;
 }
 
 } // namespace Chervilpin::Confirm
--- a/Libraries/Confirm/ConfirmationTracker.h
+++ b/Libraries/Confirm/ConfirmationTracker.h
@@ -16,7 +16,9 @@
 struct ConfirmationOptions
 {
     Core::Duration longestQueryWait{100}; ///< The longest wait asked of a database at a time.
-    Core::Duration queryPause{20};        ///< Between a failed query and the next to a database.
+    /// The least time between the starts of two queries to a database, if the first one failed or
+    /// told nothing new.
+    Core::Duration queryPause{20};
 };
 
 /// The answers whose waiting has ended. Each id is named once in its life.
@@ -69,12 +71,14 @@
     [[nodiscard]] static Need need(const Confirmable &waiting, const Route::DatabaseView &database);
     [[nodiscard]] std::optional<Upstream::StatusQuery> queryFor(const Route::DatabaseView &database,
                                                                 Core::Instant now) const;
-    [[nodiscard]] bool mayAsk(const Core::DatabaseName &database, Core::Instant now) const;
+    [[nodiscard]] bool mayAsk(const Route::DatabaseView &database, Core::Instant now) const;
 
     struct QueryState
     {
         bool isOutstanding = false;
-        Core::Instant notBefore;
+        Core::Instant started;
+        Core::LogMark atLeast;
+        QueryEnd end = QueryEnd::Answered;
     };
 
     ConfirmationOptions options_;
--- a/Tests/Confirm/TestConfirmationTracker.cpp
+++ b/Tests/Confirm/TestConfirmationTracker.cpp
@@ -74,6 +74,22 @@
     LONGS_EQUAL(1, tracker.neededQueries(view, now).size());
 }
 
+TEST(ConfirmationTracker, PausesBeforeItAsksADatabaseAgainThatToldNothingNew)
+{
+    writeAndTrack(1);
+    LONGS_EQUAL(2, tracker.neededQueries(view, now).size());
+    observe(1);
+    tracker.queryEnded(group.at(1).name, QueryEnd::Answered, now);
+    CHECK(tracker.neededQueries(view, now).empty());
+    writeAndTrack(2);
+    group.pull(1, 1);
+    observe(1);
+    // It holds what it was asked for, so it can be asked for the next at once.
+    const auto queries = tracker.neededQueries(view, now);
+    LONGS_EQUAL(1, queries.size());
+    CHECK(queries.front().query.atLeast == (LogMark{1, 2}));
+}
+
 TEST(ConfirmationTracker, TellsAWriteThatCanNoLongerBeProved)
 {
     writeAndTrack(1);
