--- a/Tests/Confirm/TestConfirmationTracker.cpp
+++ b/Tests/Confirm/TestConfirmationTracker.cpp
@@ -74,6 +74,22 @@
     LONGS_EQUAL(1, tracker.neededQueries(view, now).size());
 }
 
+TEST(ConfirmationTracker, PausesBeforeItAsksADatabaseAgainThatToldNothingNew)
+{
+    writeAndTrack(1);
+    LONGS_EQUAL(2, tracker.neededQueries(view, now).size());
+    observe(1);
+    tracker.queryEnded(group.at(1).name, QueryEnd::Answered, now);
+    CHECK(tracker.neededQueries(view, now).empty());
+    writeAndTrack(2);
+    group.pull(1, 1);
+    observe(1);
+    // It holds what it was asked for, so it can be asked for the next at once.
+    const auto queries = tracker.neededQueries(view, now);
+    LONGS_EQUAL(1, queries.size());
+    CHECK(queries.front().query.atLeast == (LogMark{1, 2}));
+}
+
 TEST(ConfirmationTracker, TellsAWriteThatCanNoLongerBeProved)
 {
     writeAndTrack(1);
@@ -150,3 +166,25 @@
     observeAll();
     CHECK(review().superseded == Ids{5});
 }
+
+TEST(ConfirmationTracker, RestsOnReplicasThatPassToANewLogAtOnce)
+{
+    // Found by the generated schedules: a replica that got entries of a later log while it still
+    // named the old term would seem to hold the old primary's write.
+    using Fakes::TermAdoption;
+    for (const TermAdoption adoption : {TermAdoption::AtOnce, TermAdoption::EntriesFirst}) {
+        group = Fakes::FakeGroup(3, adoption);
+        view = Route::GroupView(Core::GroupName("registry-1"), group.names());
+        tracker = ConfirmationTracker({}, std::make_unique<AcknowledgeAtMajority>());
+        group.promoteWithout(0, 2);
+        writeAndTrack(1);
+        for (const char *const text : {"2", "3"})
+            group.execute(1, {.term = 2, .kind = Upstream::StatementKind::Write, .text = text});
+        group.promoteWithout(0, 3);
+        group.follow(2, 3, 1);
+        group.pull(2, 1);
+        observe(2);
+        const bool isSafe = adoption == TermAdoption::AtOnce;
+        CHECK(review().confirmed == (isSafe ? Ids{} : Ids{1}));
+    }
+}
