--- a/Services/UpstreamStandIn/Connection.cpp
+++ b/Services/UpstreamStandIn/Connection.cpp
@@ -115,15 +115,15 @@
         frame.mutable_hello()->set_data_centre(self->database_.options().dataCentre);
         self->sendFrame(frame);
         self->isOpen_ = true;
-        for (const auto &request : std::exchange(self->beforeOpen_, {}))
-            self->takeRequest(request, false);
+        for (const auto &early : std::exchange(self->beforeOpen_, {}))
+            self->takeRequest(early.request, early.isKeySeen);
     });
 }
 
 void Connection::takeRequest(const Wire::Request &request, bool isKeySeen)
 {
     if (!isOpen_) {
-        beforeOpen_.push_back(request);
+        beforeOpen_.push_back({request, isKeySeen});
         return;
     }
     const auto body = fromWire(request);
@@ -205,6 +205,7 @@
 void Connection::serve()
 {
     statements_.front().startedMicroseconds = SteadyClock::nowMicroseconds();
+    session_.touch(SteadyClock::now());
     const std::chrono::microseconds length(database_.options().serviceMicroseconds);
     after(database_.context(), length, [self = shared_from_this()] { self->execute(); });
 }
--- a/Services/UpstreamStandIn/Connection.h
+++ b/Services/UpstreamStandIn/Connection.h
@@ -67,6 +67,13 @@
         std::int64_t startedMicroseconds = 0;
     };
 
+    /// Came before the greeting was answered.
+    struct EarlyRequest
+    {
+        Wire::Request request;
+        bool isKeySeen = false;
+    };
+
     [[nodiscard]] bool isDeaf() const;
     void take(const Wire::ToDatabase &);
     void greet(const Wire::Hello &);
@@ -93,7 +100,7 @@
     Core::DataCentreName dataCentre_;
     StandIn::DatabaseSession session_;
     std::deque<WaitingStatement> statements_; ///< The first one runs if isBusy_.
-    std::vector<Wire::Request> beforeOpen_;   ///< Came before the greeting was answered.
+    std::vector<EarlyRequest> beforeOpen_;
     std::optional<Wire::FromDatabase> heldBack_;
     boost::asio::steady_timer connectTimer_;
     bool isOpen_ = false;
--- a/Tests/UpstreamStandIn/TestConnection.cpp
+++ b/Tests/UpstreamStandIn/TestConnection.cpp
@@ -338,10 +338,10 @@
 TEST(Connection, AuditTellsConnectionTransactionAndKeys)
 {
     database->secrets().registerSecret("key-1");
-    const auto caller = openAndGreet();
+    const auto caller = open();
     send(*caller, Wire::STATEMENT_KIND_BEGIN, "", "t");
     send(*caller, Wire::STATEMENT_KIND_WRITE, "put k key-1", "t");
-    runUntil(*caller, 2);
+    runUntil(*caller, 3);
     const auto entries = database->trail().toJson(1);
     LONGS_EQUAL(1, entries.size());
     const auto &entry = entries[0].as_object();
