--- a/Libraries/Engine/ConnectionTable.cpp
+++ b/Libraries/Engine/ConnectionTable.cpp
@@ -56,14 +56,14 @@
     const Execute::RequestHandle handle = nextHandle_++;
     const auto correlation = matcher_.ask(key(id), handle, sharing, now);
     if (correlation)
-        outstanding_.emplace(handle, Outstanding {id, connection->group, connection->database,
-                                                  asked, std::move(purpose)});
+        outstanding_.emplace(
+            handle,
+            Outstanding{id, connection->group, connection->database, asked, std::move(purpose)});
     return correlation;
 }
 
-std::optional<Outstanding> ConnectionTable::answered(ConnectionId id,
-                                                     Upstream::CorrelationId correlation,
-                                                     Core::Instant now)
+std::optional<Outstanding>
+ConnectionTable::answered(ConnectionId id, Upstream::CorrelationId correlation, Core::Instant now)
 {
     if (Connection *connection = find(id)) {
         connection->heardAt = now;
--- a/Libraries/Engine/ConnectionTable.h
+++ b/Libraries/Engine/ConnectionTable.h
@@ -71,7 +71,7 @@
     Core::DatabaseName database;
     std::optional<Borrow::Generation> generation; ///< Its place in the pool, if it is of the pool.
     bool isOpen = false;
-    Core::Instant heardAt; ///< Of the last answer, or of the opening.
+    Core::Instant heardAt;                 ///< Of the last answer, or of the opening.
     std::optional<Core::Instant> probedAt; ///< A probe is unanswered since.
 };
 
--- a/Libraries/Engine/ControlPlane.cpp
+++ b/Libraries/Engine/ControlPlane.cpp
@@ -88,8 +88,7 @@
     , failover_(createFailover(node.settings, node.random.bits()))
     , handover_(failover_)
     , allotment_(createAllotment(node.settings))
-{
-}
+{ }
 
 void ControlPlane::start(Core::Instant now)
 {
@@ -226,12 +225,12 @@
 {
     std::string address = addressOf(message.to);
     if (!address.empty())
-        node_.outbox.push(SendToPeer {std::move(address), std::move(message)});
+        node_.outbox.push(SendToPeer{std::move(address), std::move(message)});
 }
 
 void ControlPlane::perform(Membership::Actions actions, Core::Instant now)
 {
-    const Core::Overloaded performOne {
+    const Core::Overloaded performOne{
         [&](Platform::Call &body) { call(std::move(body), CallingModule::Membership, now); },
         [&](Peer::Outgoing &message) { send(std::move(message)); },
         [&](const Membership::MemberChanged &changed) { memberChanged(changed.member); },
@@ -261,7 +260,7 @@
 
 void ControlPlane::perform(Configuration::Actions actions, Core::Instant now)
 {
-    const Core::Overloaded performOne {
+    const Core::Overloaded performOne{
         [&](Platform::Call &body) { call(std::move(body), CallingModule::Configuration, now); },
         [&](Peer::Outgoing &message) { send(std::move(message)); },
         [&](const Configuration::Apply &newer) { apply(newer.snapshot, now); },
@@ -281,7 +280,7 @@
 void ControlPlane::apply(const Configuration::SnapshotPointer &snapshot, Core::Instant now)
 {
     node_.snapshot = snapshot;
-    events_.emplace_back(ConfigurationApplied {snapshot});
+    events_.emplace_back(ConfigurationApplied{snapshot});
     perform(membership_.setStatus({snapshot->revision(), snapshot->digest()}, now), now);
     configureFailover(*snapshot, now);
     configureLimits(*snapshot, now);
@@ -310,21 +309,19 @@
         const auto &team = std::get<Configuration::TeamSpec>(resource.spec);
         const auto rate =
             static_cast<std::int64_t>(team.ratePerSecond) * Allotment::microUnitsPerUnit;
-        limits.push_back(
-            ResourceLimit::tokens(Core::TeamName(resource.id.name), rate, team.burst));
+        limits.push_back(ResourceLimit::tokens(Core::TeamName(resource.id.name), rate, team.burst));
     }
     for (const auto &resource : snapshot.resources(Configuration::Kind::UpstreamGroup)) {
         const auto &group = std::get<Configuration::UpstreamGroupSpec>(resource.spec);
         for (const auto &database : group.databases)
-            limits.push_back(
-                ResourceLimit::connections(database.name, sharedConnections(group)));
+            limits.push_back(ResourceLimit::connections(database.name, sharedConnections(group)));
     }
     allotment_->setLimits(limits, now);
 }
 
 void ControlPlane::perform(Failover::Actions actions, Core::Instant now)
 {
-    const Core::Overloaded performOne {
+    const Core::Overloaded performOne{
         [&](Failover::SendToDatabase &request) { events_.emplace_back(std::move(request)); },
         [&](Failover::CallPlatform &body) {
             call(std::move(body.call), CallingModule::Failover, now);
@@ -374,7 +371,7 @@
 
 void ControlPlane::perform(std::vector<Allotment::Action> actions, Core::Instant now)
 {
-    const Core::Overloaded performOne {
+    const Core::Overloaded performOne{
         [&](Allotment::CallPlatform &body) {
             call(std::move(body.call), CallingModule::Allotment, now);
         },
@@ -392,9 +389,9 @@
 
 void ControlPlane::perform(Operator::Actions actions, Core::Instant now)
 {
-    const Core::Overloaded performOne {
+    const Core::Overloaded performOne{
         [&](Operator::OperatorAnswer &answer) {
-            node_.outbox.push(AnswerOperator {answer.id, answer.status, std::move(answer.body)});
+            node_.outbox.push(AnswerOperator{answer.id, answer.status, std::move(answer.body)});
         },
         [&](Operator::Propose &propose) {
             perform(configuration_.propose(std::move(propose.proposal), now), now);
@@ -409,9 +406,9 @@
     if (!areMembersChanged_)
         return;
     areMembersChanged_ = false;
-    std::vector<Failover::PeerNode> nodes {{node_.settings.name, node_.settings.dataCentre}};
+    std::vector<Failover::PeerNode> nodes{{node_.settings.name, node_.settings.dataCentre}};
     std::vector<Configuration::PeerNode> peers;
-    std::vector<Core::NodeName> names {node_.settings.name};
+    std::vector<Core::NodeName> names{node_.settings.name};
     for (const auto &member : membership_.members()) {
         if (!member.isUsable())
             continue;
@@ -438,7 +435,7 @@
 void ControlPlane::reportConditions(Core::Instant now)
 {
     for (const auto &[name, group] : node_.groups) {
-        const Configuration::ResourceId id {Configuration::Kind::UpstreamGroup, name.value()};
+        const Configuration::ResourceId id{Configuration::Kind::UpstreamGroup, name.value()};
         operators_.setCondition(id, primaryCondition(group), now);
         if (const auto status = handover_.status(name))
             operators_.setCondition(id, ownerCondition(*status), now);
--- a/Libraries/Engine/ControlPlane.h
+++ b/Libraries/Engine/ControlPlane.h
@@ -25,9 +25,9 @@
 };
 
 /// What the control plane decided for the path of requests.
-using ControlEvent = std::variant<ConfigurationApplied, Failover::PrimaryKnown,
-                                  Failover::GroupDraining, Failover::SendToDatabase,
-                                  Allotment::Decision>;
+using ControlEvent =
+    std::variant<ConfigurationApplied, Failover::PrimaryKnown, Failover::GroupDraining,
+                 Failover::SendToDatabase, Allotment::Decision>;
 
 /// Joins the modules that work for the fleet as a whole: membership, configuration, failover,
 /// ownership, allotment and the operators' API.
--- a/Libraries/Engine/DatabaseLinks.cpp
+++ b/Libraries/Engine/DatabaseLinks.cpp
@@ -17,8 +17,7 @@
     : node_(node)
     , share_(std::move(share))
     , observer_(std::move(observer))
-{
-}
+{ }
 
 void DatabaseLinks::opened(ConnectionId id, Core::Instant now)
 {
@@ -41,7 +40,7 @@
         return;
     const Failover::SendToDatabase request = std::move(waiting->second);
     waitingForOpen_.erase(waiting);
-    node_.send(id, request.body, FailoverPurpose {request.token}, Execute::Sharing::Pipelined, now);
+    node_.send(id, request.body, FailoverPurpose{request.token}, Execute::Sharing::Pipelined, now);
 }
 
 DatabaseLinks::End DatabaseLinks::ended(ConnectionId id, Core::Instant now)
@@ -81,7 +80,7 @@
             database->pool.pingAnswered(*connection->generation, now);
         return;
     }
-    node_.outbox.push(CloseConnection {request.connection});
+    node_.outbox.push(CloseConnection{request.connection});
     // A fresh connection carries a single request, so nothing is left unanswered.
     const End end = ended(request.connection, now);
     static_cast<void>(end);
@@ -89,7 +88,7 @@
 
 bool DatabaseLinks::sendControl(const Failover::SendToDatabase &request, Core::Instant now)
 {
-    const FailoverPurpose purpose {request.token};
+    const FailoverPurpose purpose{request.token};
     if (request.connection == Failover::Connection::Established) {
         const auto open = node_.connections.anyOpen(request.database);
         if (open && node_.send(*open, request.body, purpose, Execute::Sharing::Pipelined, now))
@@ -124,7 +123,7 @@
     connection.group = group;
     connection.database = database.name;
     const ConnectionId id = node_.connections.add(std::move(connection));
-    node_.outbox.push(OpenConnection {id, group, database.name, database.address});
+    node_.outbox.push(OpenConnection{id, group, database.name, database.address});
     return id;
 }
 
@@ -151,7 +150,7 @@
                 node_.connections.findPooled(database.settings.name, toClose->generation);
             if (!id)
                 continue;
-            node_.outbox.push(CloseConnection {*id});
+            node_.outbox.push(CloseConnection{*id});
             const End end = ended(*id, now);
             static_cast<void>(end);
             continue;
@@ -170,8 +169,7 @@
     connection.database = database.settings.name;
     connection.generation = generation;
     const ConnectionId id = node_.connections.add(std::move(connection));
-    node_.outbox.push(
-        OpenConnection {id, group, database.settings.name, database.settings.address});
+    node_.outbox.push(OpenConnection{id, group, database.settings.name, database.settings.address});
 }
 
 void DatabaseLinks::heartbeat(ConnectionId id, Core::Instant now)
--- a/Libraries/Engine/Engine.cpp
+++ b/Libraries/Engine/Engine.cpp
@@ -20,7 +20,7 @@
     Running,
     LameDuck, ///< Unready, but still serving, until the balancer has noticed.
     Draining, ///< Refuses new requests and finishes the running ones.
-    Leaving, ///< Hands back shares, claims and connections.
+    Leaving,  ///< Hands back shares, claims and connections.
     Stopped,
 };
 
@@ -33,8 +33,7 @@
         : node_(std::move(settings), seed)
         , control_(node_)
         , links_(
-              node_,
-              [this](const Core::DatabaseName &name) { return control_.share(name, now_); },
+              node_, [this](const Core::DatabaseName &name) { return control_.share(name, now_); },
               [this](const Failover::Observation &observation) {
                   control_.observe(observation, now_);
               })
@@ -127,8 +126,7 @@
 private:
     void settle()
     {
-        for (auto events = control_.takeEvents(); !events.empty();
-             events = control_.takeEvents()) {
+        for (auto events = control_.takeEvents(); !events.empty(); events = control_.takeEvents()) {
             for (auto &event : events)
                 std::visit([this](auto &body) { follow(body); }, event);
         }
@@ -154,7 +152,7 @@
             return;
         for (const auto &removed : entry->second.configure(spec, now_)) {
             for (const ConnectionId id : links_.connectionsOf(removed)) {
-                node_.outbox.push(CloseConnection {id});
+                node_.outbox.push(CloseConnection{id});
                 endConnection(id, ConnectionFailure::Broken);
             }
             entry->second.databases.erase(removed);
@@ -208,11 +206,11 @@
         if (group)
             group->view.observe(outstanding.database, answer.status, outstanding.asked, now_);
         control_.observe({outstanding.database, outstanding.connection,
-                          Failover::Observation::Answered {answer.status}},
+                          Failover::Observation::Answered{answer.status}},
                          now_);
         node_.changedGroups.insert(outstanding.group);
         links_.answered(outstanding, now_);
-        const Core::Overloaded handle {
+        const Core::Overloaded handle{
             [&](const StatementPurpose &) {
                 pipeline_.statementAnswered(outstanding, std::move(answer), now_);
             },
@@ -257,7 +255,7 @@
     void unanswered(const Outstanding &outstanding)
     {
         GroupRuntime *group = node_.findGroup(outstanding.group);
-        const Core::Overloaded handle {
+        const Core::Overloaded handle{
             [&](const StatementPurpose &) { pipeline_.statementLost(outstanding, now_); },
             [&](const SamplePurpose &) {
                 if (group)
@@ -291,7 +289,7 @@
             DatabaseRuntime *database = group ? group->find(connection->database) : nullptr;
             if (database && connection->generation)
                 database->pool.abandoned(*connection->generation, now_);
-            node_.outbox.push(CloseConnection {id});
+            node_.outbox.push(CloseConnection{id});
             endConnection(id, ConnectionFailure::Broken);
         }
     }
@@ -339,7 +337,7 @@
     }
 
     /// How long a stop waits for shares and claims to be taken back.
-    static constexpr Core::Duration handBackLimit {2'000};
+    static constexpr Core::Duration handBackLimit{2'000};
 
     Node node_;
     ControlPlane control_;
@@ -353,8 +351,7 @@
 
 Engine::Engine(NodeSettings settings, std::uint64_t seed, Core::Instant now)
     : implementation_(std::make_unique<Implementation>(std::move(settings), seed, now))
-{
-}
+{ }
 
 Engine::~Engine() = default;
 
--- a/Libraries/Engine/GroupRuntime.cpp
+++ b/Libraries/Engine/GroupRuntime.cpp
@@ -45,7 +45,9 @@
     }
     std::vector<Core::DatabaseName> removed;
     for (const auto &[name, database] : databases) {
-        const auto isNamed = [&](const auto &entry) { return entry.name == name; };
+        const auto isNamed = [&](const auto &entry) {
+            return entry.name == name;
+        };
         if (std::ranges::none_of(groupSpec.databases, isNamed))
             removed.push_back(name);
     }
--- a/Libraries/Engine/GroupRuntime.h
+++ b/Libraries/Engine/GroupRuntime.h
@@ -64,8 +64,8 @@
     std::map<Confirm::ConfirmationId, RequestId> confirming;
     std::vector<RequestId> sampling; ///< Reads that wait for a sample of the primary.
     bool isSampleOutstanding = false;
-    Core::Term ownedTerm = 0; ///< The term whose owner is known.
-    Core::HalfName owner; ///< The owner in that term.
+    Core::Term ownedTerm = 0;    ///< The term whose owner is known.
+    Core::HalfName owner;        ///< The owner in that term.
     Core::Instant drainingUntil; ///< Until then no new writes are started.
 };
 
--- a/Libraries/Engine/ModuleSettings.cpp
+++ b/Libraries/Engine/ModuleSettings.cpp
@@ -35,8 +35,8 @@
 
 Failover::FailoverManager createFailover(const NodeSettings &node, std::uint64_t seed)
 {
-    auto manager = Failover::FailoverManager::create(
-        {node.name, node.dataCentre, node.incarnation, seed});
+    auto manager =
+        Failover::FailoverManager::create({node.name, node.dataCentre, node.incarnation, seed});
     // Settings with empty names are refused before an engine is made.
     VERIFY(manager.has_value());
     return std::move(*manager);
--- a/Libraries/Engine/NodeSettings.h
+++ b/Libraries/Engine/NodeSettings.h
@@ -27,10 +27,10 @@
     Peer::Incarnation incarnation = 0;
     std::string peerAddress; ///< IP:port under which other proxies reach this one.
     std::vector<SeedPeer> seedPeers;
-    std::string operatorSalt; ///< Of the credential of the first operator; hexadecimal.
-    std::string operatorDigest; ///< Of the same credential; hexadecimal SHA-256.
+    std::string operatorSalt;             ///< Of the credential of the first operator; hexadecimal.
+    std::string operatorDigest;           ///< Of the same credential; hexadecimal SHA-256.
     std::uint64_t traceSampleOneIn = 100; ///< One trace in so many is recorded.
-    Core::Duration lameDuck {1'000}; ///< How long a stopping node goes on taking requests.
+    Core::Duration lameDuck{1'000};       ///< How long a stopping node goes on taking requests.
     Core::Duration drainDeadline{10'000}; ///< How long shutDown() waits for running requests.
 };
 
--- a/Libraries/Engine/Outbox.h
+++ b/Libraries/Engine/Outbox.h
@@ -16,12 +16,12 @@
 
     void log(EventLevel level, std::string name, std::vector<EventField> fields = {})
     {
-        push(LogEvent {level, std::move(name), std::move(fields)});
+        push(LogEvent{level, std::move(name), std::move(fields)});
     }
 
     void count(std::string name, std::string labels = "")
     {
-        push(Count {std::move(name), std::move(labels)});
+        push(Count{std::move(name), std::move(labels)});
     }
 
     [[nodiscard]] std::vector<Action> take() { return std::exchange(actions_, {}); }
--- a/Libraries/Engine/PlatformCalls.h
+++ b/Libraries/Engine/PlatformCalls.h
@@ -33,7 +33,7 @@
         const Platform::CallId id = nextId_++;
         origins_[id] = {module, call.id, now};
         call.id = id;
-        outbox.push(CallPlatform {std::move(call)});
+        outbox.push(CallPlatform{std::move(call)});
     }
 
     /// Where a reply belongs; nothing if it is doubled.
--- a/Libraries/Engine/Request.h
+++ b/Libraries/Engine/Request.h
@@ -20,7 +20,7 @@
 enum class Stage {
     Admit,
     Queue,
-    Route, ///< Waits for a sample of the primary.
+    Route,  ///< Waits for a sample of the primary.
     Borrow, ///< Waits for a connection of the chosen database.
     Execute,
     Confirm,
@@ -44,7 +44,7 @@
 {
     CallerRequest caller;
     Core::GroupName group;
-    Core::TeamName team; ///< Empty on routes open to all.
+    Core::TeamName team;       ///< Empty on routes open to all.
     Authenticate::KeyId keyId; ///< Empty on routes open to all.
     Session::SessionToken token;
     Route::Stamp arrived;
@@ -55,17 +55,17 @@
     std::optional<Execute::AttemptTracker> attempts;
     std::vector<OpenAttempt> open;
     std::vector<Core::DatabaseName> excluded; ///< Databases that failed it.
-    std::optional<Route::SendTo> target; ///< Where it waits for a connection.
+    std::optional<Route::SendTo> target;      ///< Where it waits for a connection.
     Core::Instant retryAt;
     bool isHedged = false;
-    std::optional<Core::Instant> cutAt; ///< Its key was withdrawn; it may finish until then.
-    std::string beginName; ///< Begin: the name of the new transaction.
+    std::optional<Core::Instant> cutAt;   ///< Its key was withdrawn; it may finish until then.
+    std::string beginName;                ///< Begin: the name of the new transaction.
     std::optional<OpenAttempt> delivered; ///< The attempt whose answer will be the caller's.
-    Upstream::Answer answer; ///< Of that attempt.
+    Upstream::Answer answer;              ///< Of that attempt.
 
     Trace::TraceContext trace;
     std::string callerSpanId; ///< The caller's own span, or empty.
-    std::string stageSpanId; ///< Of the filter that it is in.
+    std::string stageSpanId;  ///< Of the filter that it is in.
     std::vector<Hop> hops;
 
     [[nodiscard]] bool isInTransaction() const { return !caller.transaction.empty(); }
--- a/Libraries/Engine/RequestPipeline.cpp
+++ b/Libraries/Engine/RequestPipeline.cpp
@@ -70,8 +70,7 @@
     , admission_(control.allotment())
     , router_({}, Core::Random(node.random.bits()))
     , budgets_({})
-{
-}
+{ }
 
 void RequestPipeline::accept(CallerRequest caller, Core::Instant now)
 {
@@ -115,11 +114,11 @@
 {
     const auto *route = node_.snapshot->findRoute(Core::RouteName(request.caller.route));
     if (!route)
-        return Refusal {RefusalReason::UnknownRoute, "no such route", {}, {}};
+        return Refusal{RefusalReason::UnknownRoute, "no such route", {}, {}};
     request.group = route->group;
     const GroupRuntime *group = node_.findGroup(route->group);
     if (!group)
-        return Refusal {RefusalReason::UnknownRoute, "the route's group is gone", {}, {}};
+        return Refusal{RefusalReason::UnknownRoute, "the route's group is gone", {}, {}};
     if (!route->isOpenToAll) {
         if (auto refusal = checkTeam(request, *route, now))
             return refusal;
@@ -138,8 +137,10 @@
     const auto key = node_.keyring.authenticate(request.caller.key, now);
     if (!key) {
         const bool isIsolated = key.error().code == Core::ErrorCode::Unavailable;
-        return Refusal {RefusalReason::UnknownKey, key.error().message,
-                        isIsolated ? isolatedRetryAfter : Core::Duration(), {}};
+        return Refusal{RefusalReason::UnknownKey,
+                       key.error().message,
+                       isIsolated ? isolatedRetryAfter : Core::Duration(),
+                       {}};
     }
     request.team = key->team;
     request.keyId = key->keyId;
@@ -149,13 +150,13 @@
         return std::nullopt;
     const auto *team = node_.snapshot->findTeam(request.team);
     if (!team || !route.teams.empty())
-        return Refusal {RefusalReason::UnknownRoute, "the route isn't open to this team", {}, {}};
+        return Refusal{RefusalReason::UnknownRoute, "the route isn't open to this team", {}, {}};
     const Core::HalfName &owner = node_.findGroup(request.group)->effectiveOwner();
     if (team->half == owner)
         return std::nullopt;
     const auto *half = node_.snapshot->findHalf(owner);
-    return Refusal {RefusalReason::WrongHalf, "the group belongs to the other half",
-                    ownerRetryAfter, half ? half->callerEndpoint : std::string()};
+    return Refusal{RefusalReason::WrongHalf, "the group belongs to the other half", ownerRetryAfter,
+                   half ? half->callerEndpoint : std::string()};
 }
 
 RequestPipeline::MaybeRefusal RequestPipeline::checkOwner(const Request &,
@@ -166,8 +167,8 @@
     if (self.isEmpty() || self == owner)
         return std::nullopt;
     const auto *half = node_.snapshot->findHalf(owner);
-    return Refusal {RefusalReason::WrongHalf, "the other half owns the group", ownerRetryAfter,
-                    half ? half->callerEndpoint : std::string()};
+    return Refusal{RefusalReason::WrongHalf, "the other half owns the group", ownerRetryAfter,
+                   half ? half->callerEndpoint : std::string()};
 }
 
 RequestPipeline::MaybeRefusal RequestPipeline::checkTransaction(const Request &request)
@@ -176,11 +177,13 @@
     const bool isOwn = transaction && transaction->team == request.team
         && transaction->keyId == request.keyId && transaction->group == request.group;
     if (!isOwn || transaction->isCut)
-        return Refusal {RefusalReason::TransactionEnded,
-                        "the transaction was rolled back, or is none of this caller's", {}, {}};
+        return Refusal{RefusalReason::TransactionEnded,
+                       "the transaction was rolled back, or is none of this caller's",
+                       {},
+                       {}};
     if (transaction->running)
-        return Refusal {RefusalReason::BadRequest,
-                        "a statement of the transaction is still running", {}, {}};
+        return Refusal{
+            RefusalReason::BadRequest, "a statement of the transaction is still running", {}, {}};
     return std::nullopt;
 }
 
@@ -190,8 +193,8 @@
     Execute::StatementTraits traits;
     traits.kind = request.caller.kind;
     traits.repeatability = request.caller.repeatability;
-    traits.pinning = request.isInTransaction() ? Execute::Pinning::Transaction
-                                               : Execute::Pinning::Free;
+    traits.pinning =
+        request.isInTransaction() ? Execute::Pinning::Transaction : Execute::Pinning::Free;
     traits.deadline = request.deadline;
     request.attempts.emplace(traits, Execute::RetryPolicy({}));
     if (request.team.isEmpty()) {
@@ -203,8 +206,7 @@
         : group.queue(request.caller.kind)
               .estimatedWait(request.team, group.slots(request.caller.kind));
     const RequestId id = request.caller.id;
-    const auto admission =
-        admission_.admit(id, request.team, request.deadline, wait, now);
+    const auto admission = admission_.admit(id, request.team, request.deadline, wait, now);
     if (const auto *refused = std::get_if<Admit::Refused>(&admission)) {
         refuse(request, {refused->reason, "the team is over its rate", refused->retryAfter, {}},
                now);
@@ -243,8 +245,10 @@
                             .enqueue(ticketFor(request), group.slots(request.caller.kind), now);
     if (result.verdict != Queue::EnqueueVerdict::Queued) {
         refuse(request,
-               {RefusalReason::QueueFull, "the deadline can't be met with what is queued",
-                result.retryAfter, {}},
+               {RefusalReason::QueueFull,
+                "the deadline can't be met with what is queued",
+                result.retryAfter,
+                {}},
                now);
         return;
     }
@@ -279,8 +283,10 @@
     for (const auto &ticket : queue.takeExpired(now)) {
         if (Request *request = find(ticket.id))
             refuse(*request,
-                   {RefusalReason::DeadlinePassed, "the deadline came before its turn",
-                    expiredRetryAfter, {}},
+                   {RefusalReason::DeadlinePassed,
+                    "the deadline came before its turn",
+                    expiredRetryAfter,
+                    {}},
                    now);
     }
 }
@@ -391,7 +397,9 @@
 
 void RequestPipeline::abandonAll(Core::Instant now)
 {
-    const auto isAny = [](const auto &) { return true; };
+    const auto isAny = [](const auto &) {
+        return true;
+    };
     for (const auto &name : transactions_.namesIf(isAny))
         rollBack(*transactions_.find(name), now);
     std::vector<RequestId> ids;
@@ -406,8 +414,8 @@
 void RequestPipeline::enter(Request &request, Stage stage, Core::Instant now)
 {
     if (request.trace.isSampled)
-        request.hops.push_back({toString(request.stage), request.stageSpanId,
-                                request.trace.spanId, request.stageSince, now, "done"});
+        request.hops.push_back({toString(request.stage), request.stageSpanId, request.trace.spanId,
+                                request.stageSince, now, "done"});
     request.stage = stage;
     request.stageSince = now;
     request.stageSpanId = request.trace.createChild(node_.random).spanId;
--- a/Libraries/Engine/RequestPipelineExecute.cpp
+++ b/Libraries/Engine/RequestPipelineExecute.cpp
@@ -85,7 +85,7 @@
             wanted.excluded.push_back(name);
     }
     const auto decision = router_.route(wanted, group.view, now);
-    const Core::Overloaded follow {
+    const Core::Overloaded follow{
         [&](const Route::SendTo &target) {
             if (request.isWriteLike() && !group.isOwnerKnown(target.term)) {
                 waitForPrimary(request, {RefusalReason::NoPrimary, {}}, now);
@@ -130,8 +130,7 @@
     if (group.isSampleOutstanding)
         return;
     const auto primary = group.view.primary();
-    const auto connection =
-        primary ? node_.connections.anyOpen(primary->database) : std::nullopt;
+    const auto connection = primary ? node_.connections.anyOpen(primary->database) : std::nullopt;
     if (!connection)
         return;
     group.isSampleOutstanding = node_
@@ -176,8 +175,8 @@
             const auto generation = database.pool.lend(now);
             const auto connection =
                 generation ? node_.connections.findPooled(name, *generation) : std::nullopt;
-            if (!connection || !send(*request, group, database, *connection, *request->target, now))
-            {
+            if (!connection
+                || !send(*request, group, database, *connection, *request->target, now)) {
                 auto context = retryContext(*request, now);
                 apply(*request, request->attempts->notSent(name, context, now), now);
             }
@@ -186,16 +185,15 @@
 }
 
 bool RequestPipeline::send(Request &request, GroupRuntime &group, DatabaseRuntime &database,
-                           ConnectionId connection, const Route::SendTo &target,
-                           Core::Instant now)
+                           ConnectionId connection, const Route::SendTo &target, Core::Instant now)
 {
     if (request.stage != Stage::Execute)
         enter(request, Stage::Execute, now);
     if (request.caller.kind == RequestKind::Begin && request.beginName.empty())
         request.beginName = Trace::TraceContext::createRoot(node_.random).traceId;
     const auto attempt = request.attempts->sent(target.database, now);
-    const StatementPurpose purpose {request.caller.id, attempt, request.caller.kind,
-                                    transactionOf(request)};
+    const StatementPurpose purpose{request.caller.id, attempt, request.caller.kind,
+                                   transactionOf(request)};
     const auto asked = node_.send(connection, statementFor(request, target), purpose,
                                   Execute::Sharing::Exclusive, now);
     if (!asked)
@@ -232,9 +230,8 @@
     if (!database || target->database == request.open.front().database || !database->hasRoom())
         return;
     const auto generation = database->pool.lend(now);
-    const auto connection = generation
-        ? node_.connections.findPooled(target->database, *generation)
-        : std::nullopt;
+    const auto connection =
+        generation ? node_.connections.findPooled(target->database, *generation) : std::nullopt;
     if (connection && send(request, group, *database, *connection, *target, now))
         node_.outbox.count("chervilpin_hedges_total");
 }
@@ -246,9 +243,8 @@
     DatabaseRuntime *database = transaction ? group.find(transaction->database) : nullptr;
     const Connection *connection =
         transaction ? node_.connections.find(transaction->connection) : nullptr;
-    const bool isUsable = database && connection && connection->generation
-        && !transaction->running && !transaction->isCut
-        && database->pool.resume(*connection->generation, now);
+    const bool isUsable = database && connection && connection->generation && !transaction->running
+        && !transaction->isCut && database->pool.resume(*connection->generation, now);
     if (!isUsable) {
         refuse(request,
                {RefusalReason::TransactionEnded, "the transaction was rolled back", {}, {}}, now);
--- a/Libraries/Engine/RequestPipelineFinish.cpp
+++ b/Libraries/Engine/RequestPipelineFinish.cpp
@@ -69,8 +69,8 @@
     finishDone(request, now);
 }
 
-void RequestPipeline::confirm(Request &request, GroupRuntime &group,
-                              Confirm::ConfirmationKind kind, Core::Instant now)
+void RequestPipeline::confirm(Request &request, GroupRuntime &group, Confirm::ConfirmationKind kind,
+                              Core::Instant now)
 {
     enter(request, Stage::Confirm, now);
     const OpenAttempt &attempt = *request.delivered;
@@ -110,8 +110,8 @@
     for (const auto &needed : group.tracker.neededQueries(group.view, now)) {
         const auto connection = node_.connections.anyOpen(needed.database);
         const bool isSent = connection
-            && node_.send(*connection, needed.query, ConfirmPurpose(),
-                          Execute::Sharing::Pipelined, now);
+            && node_.send(*connection, needed.query, ConfirmPurpose(), Execute::Sharing::Pipelined,
+                          now);
         if (!isSent)
             group.tracker.queryEnded(needed.database, Confirm::QueryEnd::Failed, now);
     }
@@ -179,12 +179,12 @@
         request.hops.push_back({"request", request.trace.spanId, request.callerSpanId,
                                 request.arrived.at, now,
                                 std::string(Core::toString(answer.outcome))});
-        node_.outbox.push(RecordTrace {request.trace.traceId, std::move(request.hops)});
+        node_.outbox.push(RecordTrace{request.trace.traceId, std::move(request.hops)});
     }
     const std::string transactionName = request.caller.transaction;
     wakeups_.erase({request.deadline, id});
     requests_.erase(id);
-    node_.outbox.push(AnswerCaller {std::move(answer)});
+    node_.outbox.push(AnswerCaller{std::move(answer)});
     Transaction *transaction = transactions_.find(transactionName);
     if (transaction && transaction->running == id) {
         const bool isStillRunning = isStatementOutstanding(*transaction);
--- a/Libraries/Engine/TransactionTable.h
+++ b/Libraries/Engine/TransactionTable.h
@@ -27,7 +27,7 @@
     Core::Term term = 0;
     Core::Instant lastUsed;
     std::optional<RequestId> running; ///< The request whose statement is unanswered.
-    bool isCut = false; ///< To be rolled back once its statement is answered.
+    bool isCut = false;               ///< To be rolled back once its statement is answered.
 };
 
 /// The open transactions of this node.
--- a/Libraries/Settings/DaemonSettings.cpp
+++ b/Libraries/Settings/DaemonSettings.cpp
@@ -121,6 +121,8 @@
     node.half = Core::HalfName(reader.text("half", ""));
     node.drainDeadline = Core::Duration(reader.number(
         "drain_deadline_ms", node.drainDeadline.milliseconds(), 0, maximumDrainMilliseconds));
+    node.lameDuck = Core::Duration(
+        reader.number("lame_duck_ms", node.lameDuck.milliseconds(), 0, maximumDrainMilliseconds));
 }
 
 void readListen(TableReader &reader, DaemonSettings &settings)
@@ -147,8 +149,8 @@
                       "must be lower-case hexadecimal digits, two to a byte");
     settings.node.operatorDigest = reader.requiredText("credential_sha256");
     const auto &digest = settings.node.operatorDigest;
-    const bool isDigest = digest.size() == digestDigits
-        && digest.find_first_not_of(hexDigits) == std::string::npos;
+    const bool isDigest =
+        digest.size() == digestDigits && digest.find_first_not_of(hexDigits) == std::string::npos;
     if (!digest.empty() && !isDigest)
         reader.report(reader.find("credential_sha256"), "credential_sha256",
                       "must be 64 lower-case hexadecimal digits");
--- a/Libraries/Settings/DaemonSettings.h
+++ b/Libraries/Settings/DaemonSettings.h
@@ -19,7 +19,7 @@
     std::string peerListen;      ///< IP:port for other proxies.
     std::string platformAddress; ///< IP:port of the platform's service.
     Observe::Severity logLevel = Observe::Severity::Info;
-    std::string spanFile;                 ///< Where spans are appended; empty: nowhere.
+    std::string spanFile; ///< Where spans are appended; empty: nowhere.
     std::size_t maximumConnections = 20'000;
 };
 
--- a/Tests/Settings/TestDaemonSettings.cpp
+++ b/Tests/Settings/TestDaemonSettings.cpp
@@ -56,8 +56,9 @@
         {"0123456789abcdef0", "XYZ",
          "f:12: operators.credential_sha256: must be 64 lower-case "
          "hexadecimal digits"},
-        {"00ff", "00f", "f:11: operators.credential_salt: must be lower-case hexadecimal digits, two "
-                        "to a byte"},
+        {"00ff", "00f",
+         "f:11: operators.credential_salt: must be lower-case hexadecimal digits, two "
+         "to a byte"},
         {"[platform]\n", "[platfrom]\n", "f:1: platform: is missing"},
         {"[[peer]]", "[peer]", "f:13: peer: must be written as [[peer]] tables"},
         {"[platform]", "[log]\nlevel = \"loud\"\n[platform]",
