--- a/Libraries/StandIn/ObjectStore.cpp
+++ b/Libraries/StandIn/ObjectStore.cpp
@@ -28,6 +28,19 @@
     entry.object.version = version;
     entry.object.value = std::move(value);
     entry.changedAt = revision_;
+    if (journalling_ == Journal::On)
+        journal_.push_back({entry.object, entry.lastVersion, revision_});
+}
+
+std::vector<StoreChange> ObjectStore::takeJournal()
+{
+    return std::exchange(journal_, {});
+}
+
+void ObjectStore::restore(const StoreChange &change)
+{
+    entries_[change.object.key] = {change.object, change.lastVersion, change.revision};
+    revision_ = change.revision;
 }
 
 Core::ErrorOr<ObjectStore::Written> ObjectStore::put(const Platform::Put &put)
--- a/Libraries/StandIn/ObjectStore.h
+++ b/Libraries/StandIn/ObjectStore.h
@@ -13,12 +13,29 @@
 
 namespace Chervilpin::StandIn {
 
+/// What makes an ObjectStore again after a restart: one change.
+struct StoreChange
+{
+    Platform::Object object;           ///< As it is after the change; version 0 if deleted.
+    Platform::Version lastVersion = 0; ///< The highest version ever given to the key.
+    Platform::StoreRevision revision = 0;
+};
+
 /// The platform's objects: versions, conditional updates, and what a watch sees. Does no I/O.
 ///
 /// Versions of a key are never used twice, also when it is deleted and created again.
 class ObjectStore
 {
 public:
+    enum class Journal {
+        Off,
+        On, ///< Changes are kept for takeJournal().
+    };
+
+    explicit ObjectStore(Journal journal = Journal::Off)
+        : journalling_(journal)
+    { }
+
     static constexpr std::size_t maximumValueBytes = 1'048'576;
     static constexpr std::size_t maximumKeyBytes = 512;
 
@@ -43,6 +60,9 @@
     /// Loses all objects; versions and revisions go on from where they were.
     void wipe();
 
+    [[nodiscard]] std::vector<StoreChange> takeJournal();
+    void restore(const StoreChange &);
+
 private:
     struct Entry
     {
@@ -65,6 +85,8 @@
     EntryMap entries_;
     std::deque<Change> history_;
     Platform::StoreRevision revision_ = 0;
+    Journal journalling_;
+    std::vector<StoreChange> journal_;
 };
 
 } // namespace Chervilpin::StandIn
--- a/Services/PlatformStandIn/ObjectJson.cpp
+++ b/Services/PlatformStandIn/ObjectJson.cpp
@@ -66,6 +66,31 @@
     return vm;
 }
 
+std::string toLine(const StandIn::StoreChange &change)
+{
+    auto json = toJson(change.object);
+    json["last_version"] = change.lastVersion;
+    json["revision"] = change.revision;
+    return boost::json::serialize(json);
+}
+
+Core::ErrorOr<StandIn::StoreChange> changeFromLine(std::string_view line)
+{
+    // Boost.JSON throws on a missing or mistyped member; here that becomes an error value.
+    try {
+        const auto json = boost::json::parse(line);
+        StandIn::StoreChange change;
+        change.object.key = std::string(json.at("key").as_string());
+        change.object.version = json.at("version").to_number<Platform::Version>();
+        change.object.value = std::string(json.at("value").as_string());
+        change.lastVersion = json.at("last_version").to_number<Platform::Version>();
+        change.revision = json.at("revision").to_number<Platform::StoreRevision>();
+        return change;
+    } catch (const std::exception &exception) {
+        return Core::failure(Core::ErrorCode::InvalidArgument, exception.what());
+    }
+}
+
 bool isUtf8(std::string_view value)
 {
     boost::system::error_code error;
--- a/Services/PlatformStandIn/PlatformService.cpp
+++ b/Services/PlatformStandIn/PlatformService.cpp
@@ -56,12 +56,14 @@
 PlatformService::PlatformService(boost::asio::io_context &context, const Settings &settings)
     : context_(context)
     , settings_(settings)
+    , store_(settings.journalPath.empty() ? StandIn::ObjectStore::Journal::Off
+                                          : StandIn::ObjectStore::Journal::On)
     , vms_(settings.vmListLag)
     , control_(context, faults_, secrets_,
                {[this](const auto &exchange) { server_->silenceOthers(exchange); },
                 [this] {
                     store_.wipe();
-                    wakeWatches();
+                    storeChanged();
                 },
                 [] {
                 }})
@@ -71,12 +73,33 @@
 PlatformService::create(boost::asio::io_context &context, const Settings &settings)
 {
     std::unique_ptr<PlatformService> service(new PlatformService(context, settings));
+    if (const auto opened = service->openJournal(); !opened)
+        return tl::unexpected(opened.error());
     service->server_ = TRY(StandIn::HttpServer::create(
         context, settings.listenAddress,
         [raw = service.get()](const Exchange &exchange) { raw->handle(exchange); }));
     return service;
 }
 
+Core::ErrorOr<void> PlatformService::openJournal()
+{
+    if (settings_.journalPath.empty())
+        return {};
+    journal_.emplace(TRY(StandIn::LineFile::create(settings_.journalPath)));
+    for (const auto &line : journal_->lines())
+        store_.restore(TRY(changeFromLine(line)));
+    return {};
+}
+
+void PlatformService::storeChanged()
+{
+    if (journal_) {
+        for (const auto &change : store_.takeJournal())
+            journal_->append(toLine(change));
+    }
+    wakeWatches();
+}
+
 void PlatformService::handle(const Exchange &exchange)
 {
     if (control_.handle(exchange) || answerControl(exchange))
@@ -174,7 +197,7 @@
     if (!isUtf8(request.body))
         return errorResponse(400, "the value is not UTF-8");
     auto response = written(store_.put({keyOf(request), request.body, *expected}));
-    wakeWatches();
+    storeChanged();
     return response;
 }
 
@@ -184,7 +207,7 @@
     if (!expected)
         return errorResponse(400, "If-Version: a version is needed");
     auto response = written(store_.erase({keyOf(request), *expected}));
-    wakeWatches();
+    storeChanged();
     return response;
 }
 
--- a/Services/PlatformStandIn/PlatformService.h
+++ b/Services/PlatformStandIn/PlatformService.h
@@ -4,6 +4,7 @@
 #include <StandIn/ControlEndpoint.h>
 #include <StandIn/FaultBoard.h>
 #include <StandIn/HttpServer.h>
+#include <StandIn/LineFile.h>
 #include <StandIn/ObjectStore.h>
 #include <StandIn/SecretWatch.h>
 #include <StandIn/VmList.h>
@@ -14,6 +15,7 @@
 #include <deque>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Chervilpin::PlatformStandIn {
@@ -27,6 +29,7 @@
         std::string listenAddress;
         Core::Duration delay; ///< Every answer takes at least this long.
         Core::Duration vmListLag;
+        std::string journalPath; ///< Empty: a restart loses all objects.
     };
 
     [[nodiscard]] static Core::ErrorOr<std::unique_ptr<PlatformService>>
@@ -54,6 +57,9 @@
     };
 
     PlatformService(boost::asio::io_context &, const Settings &);
+    [[nodiscard]] Core::ErrorOr<void> openJournal();
+    /// To be called after each change of the store, before anything is said of it.
+    void storeChanged();
 
     void handle(const Exchange &);
     bool answerControl(const Exchange &);
@@ -77,6 +83,7 @@
 
     boost::asio::io_context &context_;
     Settings settings_;
+    std::optional<StandIn::LineFile> journal_;
     StandIn::ObjectStore store_;
     StandIn::VmList vms_;
     StandIn::FaultBoard faults_;
--- a/Services/PlatformStandIn/main.cpp
+++ b/Services/PlatformStandIn/main.cpp
@@ -21,6 +21,7 @@
         ->check(CLI::NonNegativeNumber);
     app.add_option("--vm-list-lag-ms", lag, "Time until the list of VMs shows a change")
         ->check(CLI::NonNegativeNumber);
+    app.add_option("--journal", settings.journalPath, "File that keeps the objects over a restart");
     CLI11_PARSE(app, argumentCount, arguments);
     settings.delay = Duration(delay);
     settings.vmListLag = Duration(lag);
--- a/Services/UpstreamStandIn/JournalFile.cpp
+++ b/Services/UpstreamStandIn/JournalFile.cpp
@@ -1,15 +1,8 @@
 #include "JournalFile.h"
 
-#include <Core/Verify.h>
-
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <cerrno>
-#include <cstring>
-#include <fcntl.h>
-#include <fstream>
-#include <unistd.h>
 #include <utility>
 
 namespace Chervilpin::UpstreamStandIn {
@@ -82,50 +75,21 @@
     }
 }
 
-Core::ErrorOr<std::vector<JournalRecord>> readAll(const std::string &path)
-{
-    std::vector<JournalRecord> records;
-    std::ifstream file(path);
-    std::string line;
-    while (std::getline(file, line))
-        records.push_back(TRY(recordFromLine(line)));
-    return records;
-}
-
 } // namespace
 
 Core::ErrorOr<JournalFile> JournalFile::create(const std::string &path)
 {
-    auto records = TRY(readAll(path));
-    const int descriptor = ::open(path.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0644);
-    if (descriptor < 0)
-        return Core::failure(Core::ErrorCode::Unavailable,
-                             "can't open " + path + ": " + std::strerror(errno));
-    return JournalFile(descriptor, std::move(records));
-}
-
-JournalFile::JournalFile(JournalFile &&other) noexcept
-    : descriptor_(std::exchange(other.descriptor_, -1))
-    , records_(std::move(other.records_))
-{ }
-
-JournalFile::~JournalFile()
-{
-    if (descriptor_ >= 0)
-        ::close(descriptor_);
+    auto file = TRY(StandIn::LineFile::create(path));
+    std::vector<JournalRecord> records;
+    for (const auto &line : file.lines())
+        records.push_back(TRY(recordFromLine(line)));
+    return JournalFile(std::move(file), std::move(records));
 }
 
 void JournalFile::append(std::span<const JournalRecord> records)
 {
-    std::string lines;
     for (const auto &record : records)
-        lines += boost::json::serialize(toJson(record)) + '\n';
-    std::size_t written = 0;
-    while (written < lines.size()) {
-        const auto count = ::write(descriptor_, lines.data() + written, lines.size() - written);
-        VERIFY(count > 0 || errno == EINTR);
-        written += count > 0 ? static_cast<std::size_t>(count) : 0;
-    }
+        file_.append(boost::json::serialize(toJson(record)));
 }
 
 } // namespace Chervilpin::UpstreamStandIn
--- a/Tests/PlatformStandIn/TestPlatformService.cpp
+++ b/Tests/PlatformStandIn/TestPlatformService.cpp
@@ -4,8 +4,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <filesystem>
+#include <fstream>
 #include <memory>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 using namespace Chervilpin;
@@ -20,9 +23,16 @@
 
     void setup() override
     {
+        start({});
+    }
+    void start(const std::string &journalPath)
+    {
+        client.reset();
+        service.reset();
         context = std::make_unique<boost::asio::io_context>();
         PlatformService::Settings settings;
         settings.listenAddress = "127.0.0.1:0";
+        settings.journalPath = journalPath;
         auto created = PlatformService::create(*context, settings);
         CHECK(created.has_value());
         service = std::move(*created);
@@ -203,6 +213,23 @@
     LONGS_EQUAL(200, put(*client, "2", "third").status);
 }
 
+TEST(PlatformService, JournalOutlivesARestart)
+{
+    const auto path = std::filesystem::temp_directory_path()
+        / ("chervilpin-platform-" + std::to_string(::getpid()));
+    start(path);
+    put(*client, "0", "first\nline");
+    put(*client, "1", "second");
+    // As left by a process that died while it wrote.
+    std::ofstream(path, std::ios::app) << R"({"key":"k","ver)";
+    start(path);
+    STRCMP_EQUAL(R"({"key":"k","version":2,"value":"second"})", body("/objects/k").c_str());
+    put(*client, "2", "third");
+    start(path);
+    STRCMP_EQUAL(R"({"key":"k","version":3,"value":"third"})", body("/objects/k").c_str());
+    std::filesystem::remove(path);
+}
+
 TEST(PlatformService, CountsCallsAndSeesSecrets)
 {
     LONGS_EQUAL(200, client->call({"POST", "/audit/secrets", "", R"({"secret":"key-1"})"}).status);
--- a/Tests/StandIn/TestObjectStore.cpp
+++ b/Tests/StandIn/TestObjectStore.cpp
@@ -136,6 +136,21 @@
     LONGS_EQUAL(3, put("k", "v", 0));
 }
 
+TEST(ObjectStore, JournalBringsEverythingBack)
+{
+    ObjectStore first(ObjectStore::Journal::On);
+    CHECK(first.put({"k", "v", 0}).has_value());
+    CHECK(first.put({"deleted", "v", 0}).has_value());
+    CHECK(first.erase({"deleted", 1}).has_value());
+    for (const auto &change : first.takeJournal())
+        store.restore(change);
+    CHECK(first.takeJournal().empty());
+    LONGS_EQUAL(3, store.revision());
+    STRCMP_EQUAL("v", store.get("k").value.c_str());
+    LONGS_EQUAL(3, put("deleted", "again", 0));
+    LONGS_EQUAL(1, store.changesSince("", 3).objects.size());
+}
+
 TEST(ObjectStore, VmListLags)
 {
     VmList vms(200_ms);
