--- a/Tests/Fakes/FakeProxy.h
+++ b/Tests/Fakes/FakeProxy.h
@@ -5,6 +5,7 @@
 #include <Core/Random.h>
 #include <Core/Verify.h>
 #include <Execute/AttemptTracker.h>
+#include <Route/Containment.h>
 #include <Route/Router.h>
 #include <Session/SessionToken.h>
 #include <Tests/Fakes/FakeGroup.h>
@@ -95,28 +96,15 @@
         Flight *const flight = choose(choice, Served::No);
         if (flight == nullptr)
             return;
-        const std::size_t index = group_.indexOf(flight->database);
-        if (flight->statement)
-            flight->answer = group_.execute(index, *flight->statement);
-        else
-            flight->answer = Upstream::Answer{.status = group_.status(index)};
+        serve(*flight);
     }
 
     /// An answer under way arrives.
     void deliver(std::size_t choice, Core::Instant now)
     {
         Flight *const chosen = choose(choice, Served::Yes);
-        if (chosen == nullptr)
-            return;
-        const Flight flight = take(*chosen);
-        view_.observe(flight.database, flight.answer->status, flight.asked, now);
-        if (flight.statement) {
-            view_.finished(flight.database, now - flight.asked.at, now);
-            statementAnswered(flight, now);
-        } else {
-            queryEnded(flight, Confirm::QueryEnd::Answered, now);
-        }
-        tick(now);
+        if (chosen != nullptr)
+            deliver(*chosen, now);
     }
 
     /// A request or an answer under way never arrives, and the proxy learns it.
@@ -140,7 +128,7 @@
     {
         applyConfirmations(now);
         for (auto &query : tracker_.neededQueries(view_, now))
-            startQuery(query.database, FlightKind::Confirmation, now);
+            startQuery(query.database, FlightKind::Confirmation, now, query.query);
         std::vector<std::uint64_t> due;
         std::vector<std::uint64_t> ids;
         for (auto &[id, request] : requests_) {
@@ -156,6 +144,29 @@
         }
     }
 
+    /// How long messages are under way and statements run.
+    struct Transit
+    {
+        Core::Duration oneWay{1};
+        Core::Duration service{1};
+    };
+
+    /// Serves and delivers everything that is due by now, in order of asking. Reads and queries
+    /// wait at the database for what they demand.
+    void pass(const Transit &transit, Core::Instant now)
+    {
+        for (Flight &flight : flights_) {
+            if (!flight.answer && now >= flight.asked.at + transit.oneWay
+                && !isWaiting(flight, transit, now)) {
+                serve(flight);
+                flight.servedAt = now;
+            }
+        }
+        while (Flight *const due = firstDue(transit, now))
+            deliver(*due, now);
+        tick(now);
+    }
+
     /// Asks every database for its status, as the sparse probes do.
     void probe(Core::Instant now)
     {
@@ -191,8 +202,10 @@
         std::uint64_t request = 0;
         Execute::AttemptId attempt = 0;
         Route::ReadDemand demand;
+        Core::LogMark atLeast;
         Core::Duration wait;
         std::optional<Upstream::Answer> answer;
+        Core::Instant servedAt;
     };
     struct Request
     {
@@ -230,9 +243,56 @@
         return taken;
     }
 
-    void startQuery(const Core::DatabaseName &database, FlightKind kind, Core::Instant now)
+    void serve(Flight &flight)
+    {
+        const std::size_t index = group_.indexOf(flight.database);
+        if (flight.statement)
+            flight.answer = group_.execute(index, *flight.statement);
+        else
+            flight.answer = Upstream::Answer{.status = group_.status(index)};
+    }
+
+    void deliver(const Flight &chosen, Core::Instant now)
+    {
+        const Flight flight = take(chosen);
+        view_.observe(flight.database, flight.answer->status, flight.asked, now);
+        if (flight.statement) {
+            view_.finished(flight.database, now - flight.asked.at, now);
+            statementAnswered(flight, now);
+        } else {
+            queryEnded(flight, Confirm::QueryEnd::Answered, now);
+        }
+        tick(now);
+    }
+
+    [[nodiscard]] bool isWaiting(const Flight &flight, const Transit &transit,
+                                 Core::Instant now) const
+    {
+        const Core::LogMark held = group_.status(group_.indexOf(flight.database)).held;
+        const bool lacks = !Route::contains(held, flight.atLeast);
+        return lacks && now < flight.asked.at + transit.oneWay + flight.wait;
+    }
+
+    [[nodiscard]] Flight *firstDue(const Transit &transit, Core::Instant now)
     {
-        flights_.push_back({.kind = kind, .database = database, .asked = stamps_.next(now)});
+        for (Flight &flight : flights_) {
+            const bool runs = flight.statement.has_value();
+            const Core::Duration rest =
+                transit.oneWay + (runs ? transit.service : Core::Duration(0));
+            if (flight.answer && now >= flight.servedAt + rest)
+                return &flight;
+        }
+        return nullptr;
+    }
+
+    void startQuery(const Core::DatabaseName &database, FlightKind kind, Core::Instant now,
+                    const Upstream::StatusQuery &query = {})
+    {
+        flights_.push_back({.kind = kind,
+                            .database = database,
+                            .asked = stamps_.next(now),
+                            .atLeast = query.atLeast,
+                            .wait = query.wait});
     }
 
     void routeAgain(std::uint64_t id, Core::Instant now)
@@ -267,6 +327,7 @@
                             .request = id,
                             .attempt = request.attempts.sent(sent.database, now),
                             .demand = sent.demand,
+                            .atLeast = sent.atLeast,
                             .wait = sent.wait});
     }
 
