Bounds for the estimate of catching up, attempts that were not sent after all, hedges in schedules

A status that comes long after the replica caught up made it look slow. Each status now bounds the delay from both sides, and the estimate moves only as far as the bounds ask.

An attempt that was noted as sent but never left would stay open and make later answers wait for it; it can now be settled. A transaction that began on a superseded primary can be rejected like a read.

--- a/Libraries/Execute/AttemptTracker.cpp
+++ b/Libraries/Execute/AttemptTracker.cpp
@@ -77,6 +77,16 @@
     return retryOr(RefusalReason::NoPrimary, context, now);
 }
 
+AttemptStep AttemptTracker::notSent(AttemptId attempt, RetryContext &context, Core::Instant now)
+{
+    VERIFY(attempt < attempts_.size());
+    attempts_[attempt].fate = Fate::Settled;
+    if (isFinished_ || isDelivered_ || hasFate(Fate::Open))
+        return KeepWaiting{};
+    exclude(attempts_[attempt].database);
+    return retryOr(RefusalReason::NoPrimary, context, now);
+}
+
 AttemptStep AttemptTracker::answered(AttemptId attempt, Upstream::Verdict verdict,
                                      Upstream::Reason reason, RetryContext &context,
                                      Core::Instant now)
@@ -116,7 +126,7 @@
 AttemptStep AttemptTracker::rejected(AttemptId attempt, RetryContext &context, Core::Instant now)
 {
     VERIFY(attempt < attempts_.size());
-    VERIFY(traits_.kind == RequestKind::Read);
+    VERIFY(traits_.kind == RequestKind::Read || traits_.kind == RequestKind::Begin);
     if (isFinished_)
         return KeepWaiting{};
     isDelivered_ = false;
--- a/Libraries/Execute/AttemptTracker.h
+++ b/Libraries/Execute/AttemptTracker.h
@@ -87,15 +87,17 @@
 
     /// The statement is about to be handed to a connection; from now on it may run.
     [[nodiscard]] AttemptId sent(const Core::DatabaseName &database, Core::Instant now);
-    /// No byte of the statement left: no connection could be had, or it broke before.
+    /// No connection to the database could be had in this round, so nothing was sent.
     [[nodiscard]] AttemptStep notSent(const Core::DatabaseName &database, RetryContext &context,
                                       Core::Instant now);
+    /// No byte of the attempt left after all; the connection was gone.
+    [[nodiscard]] AttemptStep notSent(AttemptId attempt, RetryContext &context, Core::Instant now);
     [[nodiscard]] AttemptStep answered(AttemptId attempt, Upstream::Verdict verdict,
                                        Upstream::Reason reason, RetryContext &context,
                                        Core::Instant now);
     /// The connection broke or stays silent; an answer may still come.
     [[nodiscard]] AttemptStep lost(AttemptId attempt, RetryContext &context, Core::Instant now);
-    /// A delivered read was not proved fresh enough.
+    /// A delivered read was not proved fresh enough, or a transaction began where it must not.
     [[nodiscard]] AttemptStep rejected(AttemptId attempt, RetryContext &context, Core::Instant now);
     /// A module refused before anything was sent in this round. Final at once.
     [[nodiscard]] AttemptStep refused(Engine::RefusalReason reason, Core::Duration retryAfter,
--- a/Libraries/Route/DatabaseView.cpp
+++ b/Libraries/Route/DatabaseView.cpp
@@ -66,9 +66,12 @@
     latencySeen_ = now;
 }
 
-void DatabaseView::caughtUpAfter(Core::Duration delay)
+void DatabaseView::caughtUpBetween(Core::Duration least, Core::Duration most)
 {
-    blend(catchUpMilliseconds_, static_cast<double>(delay.milliseconds()));
+    // An estimate within the bounds agrees with what was seen; statuses can be far apart.
+    const auto low = static_cast<double>(least.milliseconds());
+    const auto high = static_cast<double>(std::max(least, most).milliseconds());
+    blend(catchUpMilliseconds_, std::clamp(catchUpMilliseconds_, low, high));
 }
 
 void DatabaseView::wasBehind(Core::Duration wait)
--- a/Libraries/Route/DatabaseView.h
+++ b/Libraries/Route/DatabaseView.h
@@ -27,14 +27,16 @@
     void setReachability(Reachability reachability, Core::Instant now);
     void started(Core::Instant now);
     void finished(Core::Duration latency, Core::Instant now);
-    /// Notes how long it took to hold what the primary held.
-    void caughtUpAfter(Core::Duration delay);
+    /// Notes that it took between \a least and \a most to hold what the primary held.
+    void caughtUpBetween(Core::Duration least, Core::Duration most);
     /// Notes that it did not hold a mark after a wait.
     void wasBehind(Core::Duration wait);
 
     [[nodiscard]] const Core::DatabaseName &name() const { return name_; }
     [[nodiscard]] const TermEvidence &evidence() const { return evidence_; }
     [[nodiscard]] const std::optional<Upstream::Status> &status() const { return status_; }
+    /// When the latest status came.
+    [[nodiscard]] Core::Instant statusSeen() const { return statusSeen_; }
     [[nodiscard]] bool isPrimary() const;
     [[nodiscard]] bool isReachable() const { return reachability_ == Reachability::Open; }
     /// The usual delay until it holds what the primary held.
--- a/Libraries/Route/GroupView.cpp
+++ b/Libraries/Route/GroupView.cpp
@@ -34,16 +34,13 @@
     DatabaseView *const view = find(database);
     if (view == nullptr)
         return;
-    const Core::LogMark before = view->status() ? view->status()->held : Core::LogMark{};
+    const bool isPrimary =
+        status.role == Upstream::Role::Primary && status.held.term == status.knownTerm;
+    if (isPrimary)
+        notePrimary(database, {asked, status.held});
+    else
+        noteCatchUp(*view, status, now);
     view->observe(status, asked, now);
-    if (status.role == Upstream::Role::Primary && status.held.term == status.knownTerm) {
-        samples_.add({asked, status.held});
-        primaryOfTerm_.try_emplace(status.held.term, database);
-        if (primaryOfTerm_.size() > maximumPrimariesKept)
-            primaryOfTerm_.erase(primaryOfTerm_.begin());
-        return;
-    }
-    noteCatchUp(*view, before, status.held, now);
 }
 
 void GroupView::setReachability(const Core::DatabaseName &database, Reachability reachability,
@@ -159,15 +156,25 @@
     return std::max(Core::Duration(1), seen + view->catchUpDelay() - now);
 }
 
-void GroupView::noteCatchUp(DatabaseView &view, Core::LogMark before, Core::LogMark held,
+void GroupView::notePrimary(const Core::DatabaseName &database, const Sample &sample)
+{
+    samples_.add(sample);
+    primaryOfTerm_.try_emplace(sample.mark.term, database);
+    if (primaryOfTerm_.size() > maximumPrimariesKept)
+        primaryOfTerm_.erase(primaryOfTerm_.begin());
+}
+
+void GroupView::noteCatchUp(DatabaseView &view, const Upstream::Status &status,
                             Core::Instant now) const
 {
-    if (held <= before)
+    if (!view.status() || status.held <= view.status()->held)
+        return;
+    const auto written = samples_.firstSeen(status.held);
+    if (!written)
         return;
-    // NOTE: This is an upper bound, since a status may come long after the database caught up.
-    const auto seen = samples_.firstSeen(held);
-    if (seen)
-        view.caughtUpAfter(now - *seen);
+    // It came to hold the mark at some time since its last status.
+    const Core::Duration least = std::max(Core::Duration(0), view.statusSeen() - *written);
+    view.caughtUpBetween(least, now - *written);
 }
 
 const DatabaseView *GroupView::find(const Core::DatabaseName &database) const
--- a/Libraries/Route/GroupView.h
+++ b/Libraries/Route/GroupView.h
@@ -71,8 +71,8 @@
                                               Core::LogMark mark, Core::Instant now) const;
 
 private:
-    void noteCatchUp(DatabaseView &view, Core::LogMark before, Core::LogMark held,
-                     Core::Instant now) const;
+    void notePrimary(const Core::DatabaseName &database, const Sample &sample);
+    void noteCatchUp(DatabaseView &view, const Upstream::Status &status, Core::Instant now) const;
     [[nodiscard]] const DatabaseView *find(const Core::DatabaseName &database) const;
     [[nodiscard]] DatabaseView *find(const Core::DatabaseName &database);
 
--- a/Tests/Execute/TestAttemptTracker.cpp
+++ b/Tests/Execute/TestAttemptTracker.cpp
@@ -23,6 +23,8 @@
 enum class Event {
     Lost,
     NotSent,
+    NotSentAfterAll,
+    Rejected,
     Superseded,
     Behind,
     BadStatement,
@@ -67,6 +69,13 @@
     return event == Event::Failed ? Verdict::Failed : Verdict::NotRun;
 }
 
+AttemptStep reject(AttemptTracker &tracker, RetryContext &context, AttemptId attempt)
+{
+    const auto step = tracker.answered(attempt, Verdict::Done, Reason::None, context, start);
+    CHECK(std::holds_alternative<Deliver>(step));
+    return tracker.rejected(attempt, context, start);
+}
+
 /// Sends an attempt where the event needs one, and lets the event happen to it.
 AttemptStep apply(AttemptTracker &tracker, RetryContext &context, Event event)
 {
@@ -75,6 +84,10 @@
     if (event == Event::Refused)
         return tracker.refused(RefusalReason::NoPrimary, Core::Duration(250), start);
     const AttemptId attempt = tracker.sent(database, start);
+    if (event == Event::NotSentAfterAll)
+        return tracker.notSent(attempt, context, start);
+    if (event == Event::Rejected)
+        return reject(tracker, context, attempt);
     if (event == Event::Lost)
         return tracker.lost(attempt, context, start);
     if (event == Event::Deadline)
@@ -109,6 +122,12 @@
     // What the database proves not to have run may be sent again, whatever it is.
     {RequestKind::Write, once, alone, {Event::Superseded}, Expected::Retry},
     {RequestKind::Write, once, alone, {Event::NotSent}, Expected::Retry},
+    {RequestKind::Write, once, alone, {Event::NotSentAfterAll}, Expected::Retry},
+    {RequestKind::Write, once, alone, {Event::NotSentAfterAll, Event::Refused}, Expected::NotRun},
+    {RequestKind::Write, once, pinned, {Event::NotSentAfterAll}, Expected::NotRun},
+    {RequestKind::Read, once, alone, {Event::Rejected}, Expected::Retry},
+    {RequestKind::Read, once, alone, {Event::Rejected, Event::Done}, Expected::Deliver},
+    {RequestKind::Begin, once, alone, {Event::Rejected}, Expected::Retry},
     {RequestKind::Write, once, alone, {Event::Superseded, Event::Done}, Expected::Deliver},
     {RequestKind::Read, once, alone, {Event::Behind}, Expected::Retry},
     {RequestKind::Read, once, alone, {Event::Overloaded}, Expected::Retry},
--- a/Tests/Fakes/FakeProxy.h
+++ b/Tests/Fakes/FakeProxy.h
@@ -144,6 +144,28 @@
         }
     }
 
+    /// Sends a second attempt of a read that is under way, to another database.
+    void hedge(std::size_t choice, Core::Instant now)
+    {
+        std::vector<std::uint64_t> candidates;
+        for (const auto &[id, request] : requests_) {
+            if (request.attempts.mayHedge())
+                candidates.push_back(id);
+        }
+        if (candidates.empty())
+            return;
+        const std::uint64_t id = candidates[choice % candidates.size()];
+        Request &request = *find(id);
+        Route::RouteRequest route = request.route;
+        for (const Flight &flight : flights_) {
+            if (flight.statement && flight.request == id)
+                route.excluded = {flight.database};
+        }
+        const auto decision = router_.route(route, view_, now);
+        if (const auto *const sent = std::get_if<Route::SendTo>(&decision))
+            send(id, request, *sent, now);
+    }
+
     /// How long messages are under way and statements run.
     struct Transit
     {
--- a/Tests/Fakes/Schedule.h
+++ b/Tests/Fakes/Schedule.h
@@ -149,7 +149,15 @@
         else if (kind == 38)
             followLatest(choice % group_.size());
         else
-            proxies_[choice % proxyCount]->probe(clockOf(choice % proxyCount));
+            probeOrHedge(choice % proxyCount, choice / proxyCount);
+    }
+
+    void probeOrHedge(std::size_t proxy, std::uint32_t detail)
+    {
+        if (detail % 2 == 0)
+            proxies_[proxy]->probe(clockOf(proxy));
+        else
+            proxies_[proxy]->hedge(detail / 2, clockOf(proxy));
     }
 
     void advance(std::uint32_t milliseconds)
