Ownership under faults, contracts of detection, reservation and promotion

Found on the way and mended: answers to an earlier promotion's fence counted for the next one; a store that was wiped back let a reserved term be granted again (now a random stride is skipped, in the knowledge that a node without memory can't do better); a reversed change came back with a later failover (now undone by another change).

--- a/Libraries/Failover/GroupFailover.cpp
+++ b/Libraries/Failover/GroupFailover.cpp
@@ -321,8 +321,11 @@
     const Upstream::Status &status = *watched.status;
     if (!isPrimaryOfItsTerm(status) || status.knownTerm <= known_.term)
         return;
+    const bool isNew = !unowned_ || unowned_->term != status.knownTerm;
     unowned_ = Known{.term = status.knownTerm, .primary = watched.database.name};
     resolveOwner(now);
+    if (unowned_ && isNew)
+        note("owner_unknown", {{"term", std::to_string(status.knownTerm)}});
 }
 
 void GroupFailover::resolveOwner(Core::Instant now)
--- a/Libraries/Failover/PromotionCoordinator.cpp
+++ b/Libraries/Failover/PromotionCoordinator.cpp
@@ -13,6 +13,13 @@
     return !lastSent || now - *lastSent >= interval;
 }
 
+template<typename Body>
+bool isOfTerm(const Upstream::RequestBody &request, Core::Term term)
+{
+    const auto *body = std::get_if<Body>(&request);
+    return body != nullptr && body->term == term;
+}
+
 void append(PromotionCoordinator::Requests &to, PromotionCoordinator::Requests from)
 {
     std::move(from.begin(), from.end(), std::back_inserter(to));
@@ -52,11 +59,12 @@
         state_ = State::Superseded;
         return {};
     }
-    if (std::holds_alternative<Upstream::Fence>(request))
+    // An answer to an earlier promotion's request says nothing about this term.
+    if (isOfTerm<Upstream::Fence>(request, plan_.term))
         noteFence(*member, answer, now);
-    if (std::holds_alternative<Upstream::Promote>(request))
+    if (isOfTerm<Upstream::Promote>(request, plan_.term))
         return notePromotion(database, answer, now);
-    if (std::holds_alternative<Upstream::Follow>(request))
+    if (isOfTerm<Upstream::Follow>(request, plan_.term))
         member->follows = member->follows || answer.verdict == Upstream::Verdict::Done;
     return proceed(now);
 }
--- a/Libraries/Failover/TermReservation.cpp
+++ b/Libraries/Failover/TermReservation.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::int64_t maximumDoublings = 6;
 constexpr std::size_t ownersKept = 16;
+constexpr Core::Term minimumStride = 1 << 20;
 
 /// A store that lost its last changes must not take back what was granted or promoted.
 TermObject keepingHighest(TermObject found, const TermObject &known)
@@ -40,6 +41,7 @@
     , random_(random)
     , isDemanded_(policy_.reserveAhead == Guard::On)
     , reservationNonce_(random_.bits())
+    , stride_(minimumStride + random_.below(minimumStride))
 { }
 
 void TermReservation::setHolders(std::vector<Core::NodeName> holders)
@@ -107,21 +109,24 @@
     readAt_ = now;
     if (const auto *objects = std::get_if<Platform::Objects>(&reply);
         objects != nullptr && objects->objects.size() == 1) {
-        if (put)
-            adopt(*put, objects->objects.front().version);
-        else
+        if (put) {
+            object_ = *put;
+            version_ = objects->objects.front().version;
+            succeeded();
+        } else {
             adopt(objects->objects.front());
+        }
         return;
     }
     if (const auto *conflict = std::get_if<Platform::VersionConflict>(&reply)) {
         if (conflict->current.version == 0)
-            adopt(TermObject{.owners = {{.owner = group_.owner}}}, 0);
+            adoptNothing();
         else
             adopt(conflict->current);
         return;
     }
     if (std::holds_alternative<Platform::Missing>(reply)) {
-        adopt(TermObject{.owners = {{.owner = group_.owner}}}, 0);
+        adoptNothing();
         return;
     }
     failed(now);
@@ -196,7 +201,7 @@
     std::erase_if(object.reservations, isStaleOwn);
     if (!makeRoom(object, *this))
         return;
-    const Core::Term term = object.grant(termSeen_);
+    const Core::Term term = object.grant(grantFloor(object));
     object.reservations.push_back({.term = term,
                                    .node = self_.name,
                                    .incarnation = self_.incarnation,
@@ -223,28 +228,44 @@
     if (!ownership_ || ownership_->since != 0)
         return;
     OwnerChange change = *ownership_;
-    change.since = object.grant(termSeen_);
+    change.since = object.grant(grantFloor(object));
     object.owners.push_back(change);
     trim(object.owners);
 }
 
+Core::Term TermReservation::grantFloor(const TermObject &object) const
+{
+    // A store that went back no longer knows all the terms that nodes hold. A random stride makes
+    // it all but impossible to grant one of those again.
+    const bool hasForgotten = isStoreBehind_ || (version_ == 0 && termSeen_ > 1);
+    return hasForgotten ? std::max(termSeen_, object.highestGranted) + stride_ : termSeen_;
+}
+
 void TermReservation::adopt(const Platform::Object &found)
 {
     auto parsed = TermObject::fromJson(found.value);
+    if (parsed) {
+        adopt(std::move(*parsed), found.version);
+        return;
+    }
     // An object that can't be read is replaced by what this node knows.
-    if (!parsed)
-        parsed = object_.value_or(TermObject{.owners = {{.owner = group_.owner}}});
-    adopt(std::move(*parsed), found.version);
+    adopt(object_.value_or(TermObject{.owners = {{.owner = group_.owner}}}), found.version);
+    isStoreBehind_ = true;
+}
+
+void TermReservation::adoptNothing()
+{
+    adopt(TermObject{.owners = {{.owner = group_.owner}}}, 0);
 }
 
 void TermReservation::adopt(TermObject found, Platform::Version version)
 {
-    if (object_ && version < version_)
+    isStoreBehind_ = object_ && version < version_;
+    if (isStoreBehind_)
         found = keepingHighest(std::move(found), *object_);
     object_ = std::move(found);
     version_ = version;
     succeeded();
-    recogniseOwn();
 }
 
 void TermReservation::recogniseOwn()
@@ -278,6 +299,7 @@
 {
     isFresh_ = true;
     failures_ = 0;
+    recogniseOwn();
 }
 
 } // namespace Chervilpin::Failover
--- a/Libraries/Failover/TermReservation.h
+++ b/Libraries/Failover/TermReservation.h
@@ -67,7 +67,9 @@
     void editPublication(TermObject &) const;
     void editOwnership(TermObject &) const;
     [[nodiscard]] static bool makeRoom(TermObject &, const TermReservation &);
+    [[nodiscard]] Core::Term grantFloor(const TermObject &) const;
     void adopt(const Platform::Object &);
+    void adoptNothing();
     void adopt(TermObject, Platform::Version);
     void recogniseOwn();
     void failed(Core::Instant now);
@@ -88,6 +90,8 @@
 
     std::optional<TermObject> object_;
     Platform::Version version_ = 0;
+    bool isStoreBehind_ = false; ///< The store showed less than it had before.
+    Core::Term stride_ = 0;      ///< Skipped where the store forgot what was granted.
     bool isFresh_ = false;
     std::optional<TermObject> put_; ///< What the call under way writes.
     bool isCalling_ = false;
--- a/Libraries/Ownership/HandoverCoordinator.cpp
+++ b/Libraries/Ownership/HandoverCoordinator.cpp
@@ -77,10 +77,12 @@
     change.since = now;
 }
 
-bool HandoverCoordinator::isSettled(const Change &change, const View &view)
+bool HandoverCoordinator::isSettled(const Change &change, const View &view) const
 {
     // Terms granted after an unfinished change carry its owner, so that it has to be undone even
     // though it never came into force.
+    if (policy_.undoUnfinished == Failover::Guard::Off)
+        return view.owner == change.desired;
     return view.owner == change.desired && view.grantedOwner.value_or(view.owner) == change.desired;
 }
 
--- a/Libraries/Ownership/HandoverCoordinator.h
+++ b/Libraries/Ownership/HandoverCoordinator.h
@@ -18,6 +18,8 @@
     Core::Duration drain{300};          ///< Running transactions get this long to finish.
     Core::Duration takeOverAfter{1500}; ///< The next watcher takes over a change after this.
     Core::Duration retryAfter{300};     ///< Between two attempts of one node.
+    /// A change that took a term without coming into force is undone by another change.
+    Failover::Guard undoUnfinished = Failover::Guard::On;
 };
 
 enum class HandoverState {
@@ -74,7 +76,7 @@
     using View = Failover::GroupView;
 
     void enter(Change &, HandoverState, Core::Instant now);
-    [[nodiscard]] static bool isSettled(const Change &, const View &);
+    [[nodiscard]] bool isSettled(const Change &, const View &) const;
     void settle(const Core::GroupName &, Change &, Core::Instant now);
     void advance(const Core::GroupName &, Change &, const View &, Core::Instant now);
     [[nodiscard]] bool isOwnTurn(const Change &, const View &, Core::Instant now) const;
--- a/Tests/Failover/FakeFleet.h
+++ b/Tests/Failover/FakeFleet.h
@@ -68,7 +68,8 @@
         std::vector<PrimaryKnown> known{};
         std::vector<FailoverTimings> timings{};
         std::vector<std::string> events{};
-        std::vector<GroupDraining> drains{};
+        std::size_t drains = 0;
+        Core::Instant drainsUntil{};
     };
 
     struct Host
@@ -168,7 +169,7 @@
     /// It is acknowledged within later steps, once a majority holds it.
     bool write(std::size_t node)
     {
-        if (nodes[node].known.empty())
+        if (!nodes[node].isAlive || nodes[node].known.empty() || now < nodes[node].drainsUntil)
             return false;
         const PrimaryKnown &known = nodes[node].known.back();
         FakeDatabase &target = find(known.database);
@@ -349,11 +350,15 @@
     void carryOut(std::size_t index, const PrimaryKnown &known)
     {
         nodes[index].known.push_back(known);
+        nodes[index].drainsUntil = {};
     }
+
     void carryOut(std::size_t index, const GroupDraining &drain)
     {
-        nodes[index].drains.push_back(drain);
+        ++nodes[index].drains;
+        nodes[index].drainsUntil = now + drain.remaining;
     }
+
     void carryOut(std::size_t index, const Event &event)
     {
         nodes[index].events.push_back(event.name);
@@ -386,20 +391,19 @@
             lastServed = now;
             return true;
         });
-        Core::Term highest = 0;
         for (const auto &entry : databases)
             if (entry.isPrimaryIn(entry.knownTerm))
-                highest = std::max(highest, entry.knownTerm);
-        for (const auto &entry : databases) {
-            if (!entry.isPrimaryIn(highest))
-                continue;
-            for (const auto &write : acknowledged)
-                if (!entry.holds(write.mark, write.id) && broken.empty())
-                    broken = "an acknowledged write is not in a later primary's log";
-            if (!primaries_.emplace(highest, entry.name).second && primaries_[highest] != entry.name
-                && broken.empty())
-                broken = "two primaries_ of one term";
-        }
+                check(entry);
+    }
+
+    void check(const FakeDatabase &primary)
+    {
+        const auto known = primaries_.emplace(primary.knownTerm, primary.name).first;
+        if (known->second != primary.name)
+            broken = "two primaries of one term";
+        for (const auto &write : acknowledged)
+            if (write.mark.term <= primary.knownTerm && !primary.holds(write.mark, write.id))
+                broken = "an acknowledged write is not in a later primary's log";
     }
 
     std::map<Core::Term, Core::DatabaseName> primaries_;
