A refused connect counts only after 150 ms without any answer

A database whose connections are all taken refuses new ones while it answers on the others; taking that for death would have promoted without need.

Also: a node that doesn't watch a group gives no verdict on its databases; the parts of the gap are checked; a driver of an ownership change that is cut from the platform is taken over from.

--- a/Libraries/Failover/GroupFailover.cpp
+++ b/Libraries/Failover/GroupFailover.cpp
@@ -137,7 +137,8 @@
                              Core::Instant now)
 {
     if (const auto *query = std::get_if<PeerQuery>(&message)) {
-        const Health seen = suspectsItself(now) ? Health::Unknown : health(query->database, now);
+        const bool canTell = isWatcher() && !suspectsItself(now);
+        const Health seen = canTell ? health(query->database, now) : Health::Unknown;
         sendToPeer(
             from,
             PeerVerdict{group_.name, query->database, query->queryId, seen, self_.dataCentre});
--- a/Libraries/Failover/Policy.h
+++ b/Libraries/Failover/Policy.h
@@ -19,6 +19,7 @@
     Core::Duration freshPingAfter{200};     ///< Silence after which a new connection is tried.
     Core::Duration freshPingAllowance{150}; ///< How long the new connection gets to answer.
     Core::Duration silenceThreshold{400};   ///< Silence that makes a database unreachable.
+    Core::Duration refusedSilence{150};     ///< Silence after which a refused connect is proof.
     Core::Duration slowLatency{200};        ///< Answers slower than this mark it slow.
     std::int64_t silenceLatencyFactor = 4;  ///< The threshold is at least this many latencies.
     Core::Duration maximumSilence{1500};    ///< Bound of the threshold for slow databases.
--- a/Libraries/Failover/SuspicionDetector.cpp
+++ b/Libraries/Failover/SuspicionDetector.cpp
@@ -88,7 +88,8 @@
 
 bool SuspicionDetector::isUnreachable(Core::Instant now) const
 {
-    if (refusedAt_)
+    // A database with all its connections taken refuses new ones while it answers on the others.
+    if (refusedAt_ && now - lastHeard_ >= policy_.refusedSilence)
         return true;
     if (now - lastHeard_ < threshold())
         return false;
--- a/Tests/Failover/TestFailover.cpp
+++ b/Tests/Failover/TestFailover.cpp
@@ -263,6 +263,23 @@
     }
 }
 
+TEST(Failover, CoordinatorReportsThePartsOfTheGap)
+{
+    FakeFleet fleet;
+    fleet.run(1_s);
+    fleet.pause(0);
+    fleet.run(2_s);
+    std::vector<FailoverTimings> reports;
+    for (const auto &node : fleet.nodes)
+        reports.insert(reports.end(), node.timings.begin(), node.timings.end());
+    LONGS_EQUAL(1, reports.size());
+    const FailoverTimings &parts = reports.front();
+    CHECK(parts.detect >= 400_ms && parts.detect <= 600_ms);
+    CHECK(parts.claim <= 200_ms);
+    CHECK(parts.fence > 0_ms && parts.promote > 0_ms && parts.learn > 0_ms);
+    CHECK(parts.detect + parts.claim + parts.fence + parts.promote + parts.learn <= 1_s);
+}
+
 TEST(Failover, DuelOfAllCoordinatorsIsSettledByTerms)
 {
     FailoverPolicy policy;
--- a/Tests/Failover/TestSuspicionDetector.cpp
+++ b/Tests/Failover/TestSuspicionDetector.cpp
@@ -65,10 +65,16 @@
      Health::Healthy},
     {"refused",
      [](SuspicionDetector &detector) {
-         detector.pingAnswered(2_ms, after(900));
+         detector.pingAnswered(2_ms, after(800));
          detector.connectRefused(after(950));
      },
      Health::Unreachable},
+    {"refused, but heard a moment ago",
+     [](SuspicionDetector &detector) {
+         detector.pingAnswered(2_ms, after(940));
+         detector.connectRefused(after(950));
+     },
+     Health::Healthy},
     {"refused, then answered",
      [](SuspicionDetector &detector) {
          detector.connectRefused(after(900));
--- a/Tests/Ownership/TestHandover.cpp
+++ b/Tests/Ownership/TestHandover.cpp
@@ -105,6 +105,11 @@
     owned.fleet.platform.mode = PlatformMode::Out;
 }
 
+void cutDriverFromPlatform(OwnedFleet &owned)
+{
+    owned.fleet.platformCut.insert(owned.driver());
+}
+
 void losePlatformAnswers(OwnedFleet &owned)
 {
     owned.fleet.platform.mode = PlatformMode::LosesAnswers;
@@ -133,6 +138,7 @@
     {"driver killed", killDriver, west, 0_ms},
     {"driver paused", pauseDriver, west, 0_ms},
     {"platform out", takePlatformOut, west, 3_s},
+    {"driver cut from the platform", cutDriverFromPlatform, west, 0_ms},
     {"platform's answers lost", losePlatformAnswers, west, 3_s},
     {"primary killed", killPrimary, west, 0_ms},
     {"order reversed", reverse, east, 0_ms},
