--- a/Libraries/Failover/GroupFailover.cpp
+++ b/Libraries/Failover/GroupFailover.cpp
@@ -188,11 +188,13 @@
 GroupView GroupFailover::view() const
 {
     const auto &object = reservation_.object();
+    // An object from before the known term tells nothing of what was granted since.
+    const bool isRecent = object && object->highestGranted >= known_.term;
     return GroupView{.term = known_.term,
                      .primary = known_.primary,
                      .owner = known_.owner,
                      .grantedOwner =
-                         object ? object->ownerIn(object->highestGranted) : std::nullopt,
+                         isRecent ? object->ownerIn(object->highestGranted) : std::nullopt,
                      .highestTermSeen = termSeen_,
                      .isWatcher = isWatcher(),
                      .watcherRank = watcherRank(),
