Property test of ownership changes among generated faults and orders

Orders of the operators, failovers and faults in any order keep one owner a term, lose no acknowledged write, and end with the order in force.

--- a/Tests/Failover/TestPromotionProperties.cpp
+++ b/Tests/Failover/TestPromotionProperties.cpp
@@ -1,5 +1,4 @@
-#include <rapidcheck.h>
-#include <rapidcheck/detail/TestListenerAdapter.h>
+#include <Tests/Failover/GeneratedFaults.h>
 
 #include <Failover/PromotionCoordinator.h>
 #include <Tests/Failover/FakeDatabases.h>
@@ -8,7 +7,6 @@
 #include <CppUTest/TestHarness.h>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 using namespace Chervilpin;
@@ -18,37 +16,6 @@
 
 namespace {
 
-constexpr std::uint64_t seed = 20261204;
-
-enum class Report {
-    Printed,
-    Silent, ///< For properties that must fail.
-};
-
-/// Runs a property with the fixed seed; a failure prints the case and how to run it again.
-template<typename Property>
-bool holds(const std::string &name, int cases, Report report, Property property)
-{
-    rc::detail::TestParams parameters;
-    parameters.seed = seed;
-    parameters.maxSuccess = cases;
-    parameters.maxSize = 100;
-    rc::detail::TestMetadata metadata;
-    metadata.id = name;
-    metadata.description = name;
-    rc::detail::TestListenerAdapter listener;
-    const auto result =
-        rc::detail::checkTestable(property, metadata, parameters, listener,
-                                  std::unordered_map<std::string, rc::detail::Reproduce>{});
-    if (result.template is<rc::detail::SuccessResult>())
-        return true;
-    if (report == Report::Silent)
-        return false;
-    rc::detail::printResultMessage(result, std::cout);
-    std::cout << "\nreplay: TestFailover -n " << name << " (the seed is fixed: " << seed << ")\n";
-    return false;
-}
-
 /// Three databases and several coordinators whose requests and answers arrive in any order, more
 /// than once, or never.
 struct Interleaving
@@ -200,63 +167,6 @@
     });
 }
 
-/// One fault or repair of a fleet, chosen by a number.
-void disturb(FakeFleet &fleet, std::size_t kind, std::size_t which)
-{
-    auto &host = fleet.hosts[FakeFleet::database(which % 3)];
-    auto &node = fleet.nodes[which % 3];
-    switch (kind) {
-    case 0:
-        host.isAlive = !host.isAlive;
-        break;
-    case 1:
-        host.isPaused = !host.isPaused;
-        break;
-    case 2:
-        host.latency = Core::Duration(static_cast<std::int64_t>(1 + which * 20));
-        break;
-    case 3:
-        if (node.isPaused)
-            fleet.wake(which % 3);
-        else
-            node.isPaused = true;
-        break;
-    case 4:
-        fleet.cuts.clear();
-        break;
-    case 5:
-        fleet.cut(which % 3, (which + 1) % 3);
-        break;
-    case 6:
-        fleet.platform.mode = static_cast<PlatformMode>(which % 3);
-        break;
-    case 7:
-        fleet.lagging.clear();
-        if (which % 2 == 0)
-            fleet.lagging.insert(FakeFleet::database(which % 3));
-        break;
-    default:
-        fleet.losesAnswer = [count = which](const Upstream::RequestBody & /*body*/) mutable {
-            return ++count % 3 == 0;
-        };
-        if (which % 2 == 0)
-            fleet.losesAnswer = nullptr;
-        break;
-    }
-}
-
-void heal(FakeFleet &fleet)
-{
-    fleet.cuts.clear();
-    fleet.lagging.clear();
-    fleet.losesAnswer = nullptr;
-    fleet.platform.mode = PlatformMode::Up;
-    for (auto &[name, host] : fleet.hosts)
-        host = {};
-    for (std::size_t node = 0; node < fleet.nodes.size(); ++node)
-        fleet.wake(node);
-}
-
 } // namespace
 
 TEST_GROUP(PromotionProperties){};
@@ -282,13 +192,8 @@
         FakeFleet fleet;
         fleet.run(500_ms);
         fleet.callers = {0, 1, 2};
-        const auto steps =
-            *rc::gen::resize(20,
-                             rc::gen::container<std::vector<std::array<std::size_t, 3>>>(
-                                 rc::gen::container<std::array<std::size_t, 3>>(
-                                     rc::gen::inRange<std::size_t>(0, 45))));
-        for (const auto &[kind, which, span] : steps) {
-            disturb(fleet, kind % 9, which);
+        for (const auto &[kind, which, span] : *generatedFaults()) {
+            disturb(fleet, kind % faultKinds, which);
             fleet.run(Core::Duration(static_cast<std::int64_t>(span) * 20));
             RC_ASSERT(fleet.broken == "");
         }
--- a/Tests/Ownership/Depends.cmake
+++ b/Tests/Ownership/Depends.cmake
@@ -1,1 +1,1 @@
-set(testDepends Failover)
+set(testDepends Failover rapidcheck)
--- a/Tests/Ownership/TestHandover.cpp
+++ b/Tests/Ownership/TestHandover.cpp
@@ -1,93 +1,18 @@
 #include <Ownership/HandoverCoordinator.h>
-#include <Tests/Failover/FakeFleet.h>
+#include <Tests/Ownership/OwnedFleet.h>
 
 #include <CppUTest/TestHarness.h>
-#include <memory>
 #include <vector>
 
 using namespace Chervilpin;
 using namespace Chervilpin::Failover;
 using namespace Chervilpin::Failover::Fakes;
 using namespace Chervilpin::Ownership;
+using namespace Chervilpin::Ownership::Fakes;
 using namespace Chervilpin::Core::Literals;
 
 namespace {
 
-const Core::HalfName east("east");
-const Core::HalfName west("west");
-
-/// A fleet in which each node has a handover coordinator.
-struct OwnedFleet
-{
-    explicit OwnedFleet(const HandoverPolicy &policy = {})
-    {
-        for (auto &node : fleet.nodes)
-            coordinators.push_back(std::make_unique<HandoverCoordinator>(node.manager, policy));
-        fleet.afterTick = [this](std::size_t node) {
-            fleet.carryOut(node, coordinators[node]->tick(fleet.now));
-        };
-        desire(east);
-        fleet.run(1_s);
-        fleet.callers = {0, 1, 2};
-        fleet.run(200_ms);
-        fleet.longestGap = {};
-    }
-
-    void desire(const Core::HalfName &owner)
-    {
-        for (auto &coordinator : coordinators)
-            coordinator->setDesired(FakeFleet::groupName(), owner, fleet.now);
-    }
-
-    [[nodiscard]] HandoverState state(std::size_t node) const
-    {
-        return coordinators[node]->status(FakeFleet::groupName())->state;
-    }
-
-    /// The node that drives a change, which is the first watcher.
-    [[nodiscard]] std::size_t driver() const
-    {
-        for (std::size_t node = 0; node < fleet.nodes.size(); ++node)
-            if (fleet.nodes[node].manager.view(FakeFleet::groupName())->watcherRank == 0)
-                return node;
-        return 0;
-    }
-
-    /// Runs until the driver is in a state, at most for two seconds.
-    void runUntil(HandoverState wanted)
-    {
-        for (int step = 0; step < 200 && state(driver()) != wanted; ++step)
-            fleet.run(10_ms);
-    }
-
-    /// Whether every live node serves for this owner, under one term.
-    [[nodiscard]] bool belongsTo(const Core::HalfName &owner) const
-    {
-        for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
-            const auto &known = fleet.nodes[node].known.back();
-            const bool isPlaced = known.owner == owner
-                && known.term == fleet.nodes[1].known.back().term
-                && state(node) == HandoverState::Serving;
-            if (fleet.nodes[node].isAlive && !fleet.nodes[node].isPaused && !isPlaced)
-                return false;
-        }
-        return true;
-    }
-
-    /// No term has acknowledged writes of two owners, and the owner changes only with the term.
-    [[nodiscard]] bool hasOneOwnerPerTerm() const
-    {
-        std::map<Core::Term, Core::HalfName> owners;
-        for (const auto &write : fleet.acknowledged)
-            if (owners.emplace(write.mark.term, write.owner).first->second != write.owner)
-                return false;
-        return true;
-    }
-
-    FakeFleet fleet;
-    std::vector<std::unique_ptr<HandoverCoordinator>> coordinators;
-};
-
 using Inflict = void (*)(OwnedFleet &);
 
 void killDriver(OwnedFleet &owned)
