--- a/Libraries/Failover/GroupFailover.cpp
+++ b/Libraries/Failover/GroupFailover.cpp
@@ -137,7 +137,8 @@
                              Core::Instant now)
 {
     if (const auto *query = std::get_if<PeerQuery>(&message)) {
-        const Health seen = suspectsItself(now) ? Health::Unknown : health(query->database, now);
+        const bool canTell = isWatcher() && !suspectsItself(now);
+        const Health seen = canTell ? health(query->database, now) : Health::Unknown;
         sendToPeer(
             from,
             PeerVerdict{group_.name, query->database, query->queryId, seen, self_.dataCentre});
@@ -187,11 +188,13 @@
 GroupView GroupFailover::view() const
 {
     const auto &object = reservation_.object();
+    // An object from before the known term tells nothing of what was granted since.
+    const bool isRecent = object && object->highestGranted >= known_.term;
     return GroupView{.term = known_.term,
                      .primary = known_.primary,
                      .owner = known_.owner,
                      .grantedOwner =
-                         object ? object->ownerIn(object->highestGranted) : std::nullopt,
+                         isRecent ? object->ownerIn(object->highestGranted) : std::nullopt,
                      .highestTermSeen = termSeen_,
                      .isWatcher = isWatcher(),
                      .watcherRank = watcherRank(),
@@ -321,8 +324,11 @@
     const Upstream::Status &status = *watched.status;
     if (!isPrimaryOfItsTerm(status) || status.knownTerm <= known_.term)
         return;
+    const bool isNew = !unowned_ || unowned_->term != status.knownTerm;
     unowned_ = Known{.term = status.knownTerm, .primary = watched.database.name};
     resolveOwner(now);
+    if (unowned_ && isNew)
+        note("owner_unknown", {{"term", std::to_string(status.knownTerm)}});
 }
 
 void GroupFailover::resolveOwner(Core::Instant now)
