A statement may share a connection with an unread status

The pool lent a connection on which a status query of confirmation or failover was unread; the matcher refused the statement, and the pool's entry stayed busy for good, until no connection was left. It shows only when answers are slow, as on a busy machine. Ruled out: failover (no event), lost shares (connections grew to 34). Only statements exclude each other now, as the wire contract says.

--- a/Libraries/Execute/AnswerMatcher.cpp
+++ b/Libraries/Execute/AnswerMatcher.cpp
@@ -1,5 +1,7 @@
 #include <Execute/AnswerMatcher.h>
 
+#include <algorithm>
+
 namespace Chervilpin::Execute {
 
 void AnswerMatcher::opened(ConnectionKey connection, Core::Instant)
@@ -15,10 +17,10 @@
     if (found == connections_.end())
         return std::nullopt;
     Connection &state = found->second;
-    if (sharing == Sharing::Exclusive && !state.unread.empty())
+    if (sharing == Sharing::Exclusive && owesStatement(state))
         return std::nullopt;
     const Upstream::CorrelationId correlation = ++state.lastCorrelation;
-    state.unread.emplace(correlation, Unread{request, now});
+    state.unread.emplace(correlation, Unread{request, sharing, now});
     return correlation;
 }
 
@@ -65,7 +67,14 @@
 bool AnswerMatcher::isLendable(ConnectionKey connection) const
 {
     const auto found = connections_.find(connection);
-    return found != connections_.end() && found->second.unread.empty();
+    return found != connections_.end() && !owesStatement(found->second);
+}
+
+bool AnswerMatcher::owesStatement(const Connection &connection)
+{
+    return std::ranges::any_of(connection.unread, [](const auto &unread) {
+        return unread.second.sharing == Sharing::Exclusive;
+    });
 }
 
 std::optional<Core::Instant> AnswerMatcher::waitingSince(ConnectionKey connection) const
--- a/Libraries/Execute/AnswerMatcher.h
+++ b/Libraries/Execute/AnswerMatcher.h
@@ -25,8 +25,8 @@
 
 /// Whether a request may be sent while another one's answer is unread.
 enum class Sharing {
-    Exclusive, ///< Statements.
-    Pipelined, ///< Status queries and other requests that take no slot.
+    Exclusive, ///< Statements; one at a time on a connection.
+    Pipelined, ///< Status queries and other requests that take no slot; beside anything else.
 };
 
 /// Matches the answers of connections to requests.
@@ -48,7 +48,7 @@
     /// The connection has ended; returns the requests that will get no answer.
     [[nodiscard]] std::vector<RequestHandle> closed(ConnectionKey connection, Core::Instant now);
 
-    /// Whether the connection is open and all its answers have been read.
+    /// Whether the connection is open and owes no answer to a statement.
     [[nodiscard]] bool isLendable(ConnectionKey connection) const;
     /// When the oldest unread answer was asked for.
     [[nodiscard]] std::optional<Core::Instant> waitingSince(ConnectionKey connection) const;
@@ -57,6 +57,7 @@
     struct Unread
     {
         std::optional<RequestHandle> request; ///< Empty once abandoned.
+        Sharing sharing = Sharing::Exclusive;
         Core::Instant asked;
     };
     struct Connection
@@ -65,6 +66,8 @@
         std::map<Upstream::CorrelationId, Unread> unread;
     };
 
+    [[nodiscard]] static bool owesStatement(const Connection &);
+
     std::map<ConnectionKey, Connection> connections_;
 };
 
