A statement that can't be sent leaves no open attempt

Cause: an attempt was noted as sent before the connection was asked whether it takes it, so a refused sending made the outcome unknown. The connection is asked first now, and one that was lent in error is given up.

--- a/Libraries/Engine/ConnectionTable.h
+++ b/Libraries/Engine/ConnectionTable.h
@@ -99,6 +99,8 @@
     /// Open connections that owe an answer and gave none for at least \a silence.
     [[nodiscard]] std::vector<ConnectionId> silentFor(Core::Duration silence,
                                                       Core::Instant now) const;
+    /// Whether the connection is open and can take a statement.
+    [[nodiscard]] bool isLendable(ConnectionId id) const { return matcher_.isLendable(key(id)); }
     /// Whether a statement on the connection is unanswered.
     [[nodiscard]] bool owesStatement(ConnectionId) const;
     [[nodiscard]] std::vector<ConnectionId> connectionsOf(const Core::DatabaseName &) const;
--- a/Libraries/Engine/RequestPipelineExecute.cpp
+++ b/Libraries/Engine/RequestPipelineExecute.cpp
@@ -1,4 +1,5 @@
 #include <Core/Overloaded.h>
+#include <Core/Verify.h>
 #include <Engine/RequestPipeline.h>
 
 #include <algorithm>
@@ -177,6 +178,8 @@
                 generation ? node_.connections.findPooled(name, *generation) : std::nullopt;
             if (!connection
                 || !send(*request, group, database, *connection, *request->target, now)) {
+                if (generation)
+                    database.pool.abandoned(*generation, now);
                 auto context = retryContext(*request, now);
                 apply(*request, request->attempts->notSent(name, context, now), now);
             }
@@ -187,6 +190,8 @@
 bool RequestPipeline::send(Request &request, GroupRuntime &group, DatabaseRuntime &database,
                            ConnectionId connection, const Route::SendTo &target, Core::Instant now)
 {
+    if (!node_.connections.isLendable(connection))
+        return false;
     if (request.stage != Stage::Execute)
         enter(request, Stage::Execute, now);
     if (request.caller.kind == RequestKind::Begin && request.beginName.empty())
@@ -196,8 +201,8 @@
                                    transactionOf(request)};
     const auto asked = node_.send(connection, statementFor(request, target), purpose,
                                   Execute::Sharing::Exclusive, now);
-    if (!asked)
-        return false;
+    // Nothing happened to the connection since it was found lendable.
+    VERIFY(asked.has_value());
     database.limit.started();
     group.view.started(target.database, now);
     request.open.push_back({attempt, connection, target.database, target, *asked});
--- a/Tests/Execute/TestAnswerMatcher.cpp
+++ b/Tests/Execute/TestAnswerMatcher.cpp
@@ -69,3 +69,15 @@
     CHECK(matcher.ask(firstLife, other, Sharing::Pipelined, Instant(9)).has_value());
     CHECK(matcher.waitingSince(firstLife) == Instant(5));
 }
+
+TEST(AnswerMatcher, AStatementMayGoBesideAnUnreadStatus)
+{
+    const auto status = matcher.ask(firstLife, request, Sharing::Pipelined, now);
+    CHECK(status.has_value());
+    CHECK(matcher.isLendable(firstLife));
+    const auto statement = matcher.ask(firstLife, other, Sharing::Exclusive, now);
+    CHECK(statement.has_value());
+    CHECK(!matcher.ask(firstLife, request, Sharing::Exclusive, now).has_value());
+    CHECK(matcher.answered(firstLife, *status, now) == request);
+    CHECK(!matcher.isLendable(firstLife));
+}
