--- a/Tests/Confirm/TestAcknowledgementProperties.cpp
+++ b/Tests/Confirm/TestAcknowledgementProperties.cpp
@@ -36,6 +36,16 @@
     CHECK(counts.unknown > 1000);
 }
 
+TEST(AcknowledgementProperties, HoldInAGroupOfFive)
+{
+    ScheduleOptions options;
+    options.groupSize = 5;
+    Fakes::ScheduleCounts counts;
+    CHECK(Fakes::keepsAll(options, propertyOptions, counts));
+    CHECK(counts.acknowledged > 2000);
+    CHECK(counts.readsReleased > 4000);
+}
+
 TEST(AcknowledgementProperties, LoseWritesAcknowledgedAtTheCommit)
 {
     const auto options = withPolicy<Confirm::AcknowledgeAtCommit>();
--- a/Tests/Fakes/FakeGroup.h
+++ b/Tests/Fakes/FakeGroup.h
@@ -178,22 +178,28 @@
         return answer(index, Upstream::Verdict::Done, Upstream::Reason::None);
     }
 
-    /// The whole of a legal promotion but for the others' following: fences the majority named by
-    /// leaving out one database, and promotes the highest mark among it. Returns the new primary.
-    std::size_t promoteWithout(std::size_t leftOut, Core::Term term)
-    {
-        std::size_t best = size();
-        for (std::size_t index = 0; index < size(); ++index) {
-            if (index == leftOut)
-                continue;
+    /// The whole of a legal promotion but for the others' following: fences the least majority that
+    /// starts at an index, counted around, and promotes the highest mark in it. Returns the
+    /// primary.
+    std::size_t promoteFrom(std::size_t first, Core::Term term)
+    {
+        std::size_t best = first % size();
+        for (std::size_t offset = 0; offset < majority(); ++offset) {
+            const std::size_t index = (first + offset) % size();
             fence(index, term);
-            if (best == size() || databases_[index].held() > databases_[best].held())
+            if (databases_[index].held() > databases_[best].held())
                 best = index;
         }
         promote(best, term);
         return best;
     }
 
+    /// The same with a group of three and one left out.
+    std::size_t promoteWithout(std::size_t leftOut, Core::Term term)
+    {
+        return promoteFrom(leftOut + 1, term);
+    }
+
     [[nodiscard]] Core::Term highestTerm() const
     {
         Core::Term highest = 0;
--- a/Tests/Fakes/Schedule.h
+++ b/Tests/Fakes/Schedule.h
@@ -43,6 +43,7 @@
         return std::make_unique<Confirm::AcknowledgeAtMajority>();
     };
     TermAdoption adoption = TermAdoption::AtOnce;
+    std::size_t groupSize = 3;
 };
 
 /// How the calls of a schedule ended; shows that the schedules exercise what they should.
@@ -62,7 +63,7 @@
 {
 public:
     explicit Schedule(const ScheduleOptions &options)
-        : group_(3, options.adoption)
+        : group_(options.groupSize, options.adoption)
     {
         for (std::uint64_t index = 0; index < proxyCount; ++index) {
             FakeProxy::Options proxy = options.proxy;
@@ -210,13 +211,13 @@
     {
         if (choice % 4 != 0)
             return;
-        const std::size_t leftOut = choice / 4 % group_.size();
-        const std::size_t primary = group_.promoteWithout(leftOut, group_.highestTerm() + 1);
+        const std::size_t first = choice / 4 % group_.size();
+        const std::size_t primary = group_.promoteFrom(first, group_.highestTerm() + 1);
         ++counts_.promotions;
-        if (choice / 16 % 4 != 0)
-            followLatest((primary + 1) % group_.size());
-        if (choice / 64 % 4 != 0)
-            followLatest((primary + 2) % group_.size());
+        for (std::size_t offset = 1; offset < group_.size(); ++offset) {
+            if ((choice >> (4 + 2 * offset)) % 4 != 0)
+                followLatest((primary + offset) % group_.size());
+        }
     }
 
     [[nodiscard]] std::optional<std::size_t> latestPrimary() const
