--- a/Tests/Execute/TestRetryPolicy.cpp
+++ b/Tests/Execute/TestRetryPolicy.cpp
@@ -1,4 +1,5 @@
 #include <Execute/HedgePolicy.h>
+#include <Execute/RetryBudget.h>
 #include <Execute/RetryPolicy.h>
 
 #include <CppUTest/TestHarness.h>
@@ -52,3 +53,14 @@
     }
     CHECK(hedges >= 45 && hedges <= 52);
 }
+
+TEST(RetryPolicy, KeepsTheBudgetsOfTeamsAndGroupsApart)
+{
+    RetryBudgets budgets({.retriesPerRequest = 0.1, .maximumSaved = 1});
+    const Core::TeamName team("clerks");
+    const Core::GroupName group("registry-1");
+    CHECK(budgets.budget(team, group, Instant(0)).tryTake(Instant(0)));
+    CHECK(!budgets.budget(team, group, Instant(0)).tryTake(Instant(0)));
+    CHECK(budgets.budget(team, Core::GroupName("registry-2"), Instant(0)).tryTake(Instant(0)));
+    CHECK(budgets.budget(Core::TeamName("brokers"), group, Instant(0)).tryTake(Instant(0)));
+}
