--- a/Libraries/Ownership/HandoverCoordinator.cpp
+++ b/Libraries/Ownership/HandoverCoordinator.cpp
@@ -32,6 +32,10 @@
 void HandoverCoordinator::setDesired(const Core::GroupName &group, const Core::HalfName &owner,
                                      Core::Instant now)
 {
+    if (owner.isEmpty()) {
+        forget(group);
+        return;
+    }
     Change &change = changes_[group];
     if (change.desired == owner)
         return;
--- a/Libraries/Ownership/HandoverCoordinator.h
+++ b/Libraries/Ownership/HandoverCoordinator.h
@@ -54,7 +54,7 @@
     /// The manager must outlive this object.
     HandoverCoordinator(Failover::FailoverManager &, HandoverPolicy = {});
 
-    /// Sets the owner that the configuration names. Known groups without a desire are left alone.
+    /// Sets the owner that the configuration names; with an empty name the group is left alone.
     void setDesired(const Core::GroupName &, const Core::HalfName &, Core::Instant now);
     void forget(const Core::GroupName &);
 
