--- /dev/null
+++ b/Libraries/Failover/FollowKeeper.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Upstream/Messages.h>
+
+#include <map>
+#include <optional>
+
+namespace Chervilpin::Failover {
+
+/// Notices databases that are not in their place under the known primary, such as an old primary
+/// that came back, and tells when each is to be told whom to follow.
+class FollowKeeper
+{
+public:
+    /// \a interval is the least time between two tellings of one database.
+    explicit FollowKeeper(Core::Duration interval)
+        : interval_(interval)
+    { }
+
+    /// Starts anew under another primary.
+    void setPrimary(Core::Term, const Core::DatabaseName &);
+
+    /// Takes a database's status, and returns whether it is to be told now. \a patience is how
+    /// long it may find its place by itself or through others.
+    [[nodiscard]] bool shallTell(const Core::DatabaseName &, const Upstream::Status &,
+                                 Core::Duration patience, Core::Instant now);
+
+    /// Since when the primary itself has not been one, or nothing.
+    [[nodiscard]] std::optional<Core::Instant> primaryLostSince() const;
+
+private:
+    struct Stray
+    {
+        Core::Instant since;
+        std::optional<Core::Instant> toldAt;
+    };
+
+    [[nodiscard]] bool isInPlace(const Core::DatabaseName &, const Upstream::Status &) const;
+
+    Core::Duration interval_;
+    Core::Term term_ = 0;
+    Core::DatabaseName primary_;
+    std::map<Core::DatabaseName, Stray> strays_;
+};
+
+} // namespace Chervilpin::Failover
--- a/Libraries/Failover/GroupFailover.cpp
+++ b/Libraries/Failover/GroupFailover.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr unsigned groupNumberShift = 40;
 /// A request without any report is forgotten after this.
 constexpr Core::Duration requestMemory{5000};
 /// Between two pings or questions of a node that looks for the primary.
@@ -43,17 +42,13 @@
 
 } // namespace
 
-GroupNumber groupNumberOf(Token token)
-{
-    return token >> groupNumberShift;
-}
-
 GroupFailover::GroupFailover(ThisNode self, Group group, GroupNumber number, FailoverPolicy policy,
                              Core::Random random, Core::Instant now)
     : self_(std::move(self))
     , group_(std::move(group))
     , policy_(policy)
-    , lastToken_(number << groupNumberShift)
+    , requests_(number)
+    , followKeeper_(policy_.promotion.followRetryInterval)
     , random_(random)
     , reservation_(self_, group_, policy_, Core::Random(random_.bits()))
     , consent_(policy_, self_)
@@ -100,16 +95,14 @@
 
 void GroupFailover::answered(Token token, const Upstream::Answer &answer, Core::Instant now)
 {
-    const auto found = sent_.find(token);
-    if (found == sent_.end())
+    const std::optional<RequestLedger::Entry> request = requests_.take(token);
+    if (!request)
         return;
-    const Sent sent = found->second;
-    sent_.erase(found);
-    Watched *watched = find(sent.database);
-    watched->detector.pingAnswered(now - sent.at, now);
+    Watched *watched = find(request->database);
+    watched->detector.pingAnswered(now - request->sentAt, now);
     if (promotion_) {
-        send(promotion_->answered(sent.database, sent.body, answer, now), now);
-        if (std::holds_alternative<Upstream::Follow>(sent.body)
+        send(promotion_->answered(request->database, request->body, answer, now), now);
+        if (std::holds_alternative<Upstream::Follow>(request->body)
             && answer.verdict == Upstream::Verdict::Done)
             reportTimings(now);
         advancePromotion(now);
@@ -119,12 +112,9 @@
 
 void GroupFailover::gaveNoAnswer(Token token, NoAnswer why, Core::Instant now)
 {
-    const auto found = sent_.find(token);
-    if (found == sent_.end())
-        return;
-    if (why == NoAnswer::Refused)
-        find(found->second.database)->detector.connectRefused(now);
-    sent_.erase(found);
+    const std::optional<RequestLedger::Entry> request = requests_.take(token);
+    if (request && why == NoAnswer::Refused)
+        find(request->database)->detector.connectRefused(now);
 }
 
 void GroupFailover::replied(const Platform::ReplyBody &reply, Core::Instant now)
@@ -156,7 +146,7 @@
 
 std::optional<Platform::CallBody> GroupFailover::tick(Core::Instant now)
 {
-    forgetOldRequests(now);
+    requests_.forgetSentBefore(now - requestMemory);
     ping(now);
     askForState(now);
     if (promotion_) {
@@ -237,8 +227,8 @@
 void GroupFailover::send(const Core::DatabaseName &database, const Upstream::RequestBody &body,
                          Connection connection, Core::Instant now)
 {
-    sent_[++lastToken_] = Sent{database, body, connection, now};
-    actions_.emplace_back(SendToDatabase{database, body, lastToken_, connection});
+    const Token token = requests_.add({database, body, now});
+    actions_.emplace_back(SendToDatabase{database, body, token, connection});
 }
 
 void GroupFailover::send(const PromotionCoordinator::Requests &requests, Core::Instant now)
@@ -277,12 +267,6 @@
     }
 }
 
-void GroupFailover::forgetOldRequests(Core::Instant now)
-{
-    while (!sent_.empty() && now - sent_.begin()->second.at >= requestMemory)
-        sent_.erase(sent_.begin());
-}
-
 void GroupFailover::noteStatus(Watched &watched, const Upstream::Status &status, Core::Instant now)
 {
     watched.status = status;
@@ -313,8 +297,7 @@
         termSeenAt_ = now;
     }
     reservation_.noteTermSeen(state.term);
-    for (auto &watched : databases_)
-        watched.strayedAt.reset();
+    followKeeper_.setPrimary(state.term, state.primary);
     actions_.emplace_back(PrimaryKnown{group_.name, state.term, state.primary, state.owner});
     tellPeers(tellCount);
 }
@@ -425,9 +408,8 @@
         return false;
     if (known_.term == 0 || termSeen_ > known_.term)
         return now - termSeenAt_ >= policy_.abandonedAfter;
-    const Watched *primary = find(known_.primary);
-    return primary != nullptr && primary->strayedAt
-        && now - *primary->strayedAt >= policy_.abandonedAfter;
+    const std::optional<Core::Instant> lostSince = followKeeper_.primaryLostSince();
+    return lostSince && now - *lostSince >= policy_.abandonedAfter;
 }
 
 void GroupFailover::considerLoss(Core::Instant now)
@@ -547,34 +529,18 @@
 {
     if (known_.term == 0 || termSeen_ > known_.term || promotion_)
         return;
-    const Database primary =
-        find(known_.primary) == nullptr ? Database{} : find(known_.primary)->database;
-    if (primary.name.isEmpty())
+    const Watched *primary = find(known_.primary);
+    if (primary == nullptr)
         return;
+    const Upstream::Follow follow{known_.term, known_.primary, primary->database.address};
     const Core::Duration patience =
         policy_.promotion.followRetryInterval * static_cast<std::int64_t>(watcherRank() + 1);
-    for (auto &watched : databases_) {
+    for (const auto &watched : databases_) {
+        const Core::DatabaseName &name = watched.database.name;
         if (!watched.status || watched.detector.health(now) == Health::Unreachable)
             continue;
-        const Upstream::Status &status = *watched.status;
-        const bool isPrimary = watched.database.name == known_.primary;
-        const bool isInPlace = status.knownTerm == known_.term
-            && (isPrimary
-                    ? status.role == Upstream::Role::Primary
-                    : status.role == Upstream::Role::Replica && status.primary == known_.primary);
-        if (isInPlace) {
-            watched.strayedAt.reset();
-            continue;
-        }
-        if (!watched.strayedAt)
-            watched.strayedAt = now;
-        const bool isDue = !watched.followSentAt
-            || now - *watched.followSentAt >= policy_.promotion.followRetryInterval;
-        if (isPrimary || !isDue || now - *watched.strayedAt < patience)
-            continue;
-        watched.followSentAt = now;
-        send(watched.database.name, Upstream::Follow{known_.term, primary.name, primary.address},
-             Connection::Established, now);
+        if (followKeeper_.shallTell(name, *watched.status, patience, now))
+            send(name, follow, Connection::Established, now);
     }
 }
 
--- a/Libraries/Failover/GroupFailover.h
+++ b/Libraries/Failover/GroupFailover.h
@@ -5,16 +5,17 @@
 #include <Core/Name.h>
 #include <Core/Random.h>
 #include <Failover/Actions.h>
+#include <Failover/FollowKeeper.h>
 #include <Failover/PeerConsent.h>
 #include <Failover/PeerMessages.h>
 #include <Failover/Policy.h>
 #include <Failover/PromotionCoordinator.h>
+#include <Failover/RequestLedger.h>
 #include <Failover/Settings.h>
 #include <Failover/SuspicionDetector.h>
 #include <Failover/TermReservation.h>
 #include <Upstream/Messages.h>
 
-#include <map>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -22,11 +23,6 @@
 
 namespace Chervilpin::Failover {
 
-/// Numbers the groups of one process; the upper bits of the tokens of a group's requests.
-using GroupNumber = std::uint64_t;
-
-[[nodiscard]] GroupNumber groupNumberOf(Token);
-
 /// What the engine saw of a database besides the answers to this module's own requests.
 struct Observation
 {
@@ -114,16 +110,6 @@
         SuspicionDetector detector;
         std::optional<Upstream::Status> status;
         std::optional<Core::Instant> pingedAt;
-        std::optional<Core::Instant> followSentAt;
-        std::optional<Core::Instant> strayedAt; ///< Since when it has not followed the primary.
-    };
-
-    struct Sent
-    {
-        Core::DatabaseName database;
-        Upstream::RequestBody body;
-        Connection connection = Connection::Established;
-        Core::Instant at;
     };
 
     struct Known
@@ -144,7 +130,6 @@
     void sendToPeer(const Core::NodeName &, const PeerMessage &);
     void note(std::string_view event, std::vector<EventField> = {});
     void ping(Core::Instant now);
-    void forgetOldRequests(Core::Instant now);
 
     // Learning.
     void noteStatus(Watched &, const Upstream::Status &, Core::Instant now);
@@ -173,14 +158,14 @@
     ThisNode self_;
     Group group_;
     FailoverPolicy policy_;
-    Token lastToken_;
+    RequestLedger requests_;
+    FollowKeeper followKeeper_;
     Core::Random random_;
     std::vector<PeerNode> live_;
     std::vector<PeerNode> watchers_;
     std::vector<Watched> databases_;
     TermReservation reservation_;
     PeerConsent consent_;
-    std::map<Token, Sent> sent_;
     Known known_;
     std::optional<Known> unowned_; ///< A primary whose owner isn't known yet.
     Core::Term termSeen_ = 0;
--- /dev/null
+++ b/Libraries/Failover/RequestLedger.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Failover/Actions.h>
+#include <Upstream/Messages.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace Chervilpin::Failover {
+
+/// Numbers the groups of one process; the upper bits of the tokens of a group's requests.
+using GroupNumber = std::uint64_t;
+
+[[nodiscard]] GroupNumber groupNumberOf(Token);
+
+/// The requests of one group that are under way, by their tokens.
+class RequestLedger
+{
+public:
+    struct Entry
+    {
+        Core::DatabaseName database;
+        Upstream::RequestBody body;
+        Core::Instant sentAt;
+    };
+
+    explicit RequestLedger(GroupNumber);
+
+    [[nodiscard]] Token add(Entry);
+    /// Takes a request out; nothing if its token isn't known or was reported already.
+    [[nodiscard]] std::optional<Entry> take(Token);
+    void forgetSentBefore(Core::Instant);
+
+private:
+    Token last_;
+    std::map<Token, Entry> entries_;
+};
+
+} // namespace Chervilpin::Failover
