--- a/Libraries/Failover/GroupFailover.cpp
+++ b/Libraries/Failover/GroupFailover.cpp
@@ -52,7 +52,7 @@
     , random_(random)
     , reservation_(self_, group_, policy_, Core::Random(random_.bits()))
     , consent_(policy_, self_)
-    , termSeenAt_(now)
+    , knowledge_(now)
 {
     for (const auto &database : group_.databases)
         databases_.push_back({database, SuspicionDetector(policy_.detection, now)});
@@ -137,10 +137,12 @@
         consent_.answered(from, verdict->queryId, verdict->health);
     if (const auto *state = std::get_if<GroupState>(&message))
         learn({state->term, state->primary, state->owner}, policy_.relayFanOut, now);
-    if (std::holds_alternative<GroupStateQuery>(message) && known_.term != 0)
-        sendToPeer(from, GroupState{group_.name, known_.term, known_.primary, known_.owner});
+    if (std::holds_alternative<GroupStateQuery>(message) && knowledge_.known().term != 0)
+        sendToPeer(from,
+                   GroupState{group_.name, knowledge_.known().term, knowledge_.known().primary,
+                              knowledge_.known().owner});
     if (const auto *notice = std::get_if<DrainingNotice>(&message);
-        notice != nullptr && notice->term > known_.term)
+        notice != nullptr && notice->term > knowledge_.known().term)
         actions_.emplace_back(GroupDraining{group_.name, notice->term, notice->remaining});
 }
 
@@ -169,23 +171,23 @@
 void GroupFailover::startHandover(Core::Instant now)
 {
     const std::optional<Core::Term> term = reservation_.ownershipTerm();
-    if (!term || isUnderWay(promotion_) || *term <= termSeen_)
+    if (!term || isUnderWay(promotion_) || *term <= knowledge_.highestTerm())
         return;
     timings_ = FailoverTimings{.group = group_.name};
-    startPromotion(*term, known_.primary, now);
+    startPromotion(*term, knowledge_.known().primary, now);
 }
 
 GroupView GroupFailover::view() const
 {
     const auto &object = reservation_.object();
     // An object from before the known term tells nothing of what was granted since.
-    const bool isRecent = object && object->highestGranted >= known_.term;
-    return GroupView{.term = known_.term,
-                     .primary = known_.primary,
-                     .owner = known_.owner,
+    const bool isRecent = object && object->highestGranted >= knowledge_.known().term;
+    return GroupView{.term = knowledge_.known().term,
+                     .primary = knowledge_.known().primary,
+                     .owner = knowledge_.known().owner,
                      .grantedOwner =
                          isRecent ? object->ownerIn(object->highestGranted) : std::nullopt,
-                     .highestTermSeen = termSeen_,
+                     .highestTermSeen = knowledge_.highestTerm(),
                      .isWatcher = isWatcher(),
                      .watcherRank = watcherRank(),
                      .isPromoting = isUnderWay(promotion_),
@@ -251,7 +253,7 @@
 
 void GroupFailover::ping(Core::Instant now)
 {
-    const bool searches = known_.term == 0 || termSeen_ > known_.term;
+    const bool searches = knowledge_.isOutdated();
     if (!isWatcher() && !searches)
         return;
     const Core::Duration interval = isWatcher() ? policy_.detection.pingInterval : searchInterval;
@@ -270,32 +272,24 @@
 void GroupFailover::noteStatus(Watched &watched, const Upstream::Status &status, Core::Instant now)
 {
     watched.status = status;
-    if (status.knownTerm > termSeen_) {
-        termSeen_ = status.knownTerm;
-        termSeenAt_ = now;
-        reservation_.noteTermSeen(termSeen_);
-    }
+    if (knowledge_.noteTerm(status.knownTerm, now))
+        reservation_.noteTermSeen(status.knownTerm);
     learnFromDatabase(watched, now);
 }
 
-void GroupFailover::learn(const Known &state, std::size_t tellCount, Core::Instant now)
+void GroupFailover::learn(const KnownPrimary &state, std::size_t tellCount, Core::Instant now)
 {
-    if (state.term <= known_.term) {
-        if (state.term == known_.term && state.primary != known_.primary)
-            note("primary_contradicted",
-                 {{"term", std::to_string(state.term)},
-                  {"known", known_.primary.value()},
-                  {"told", state.primary.value()}});
+    using Effect = PrimaryKnowledge::Effect;
+    const Effect effect = knowledge_.learn(state, now);
+    if (effect == Effect::Contradicted)
+        note("primary_contradicted",
+             {{"term", std::to_string(state.term)},
+              {"known", knowledge_.known().primary.value()},
+              {"told", state.primary.value()}});
+    if (effect != Effect::Learned)
         return;
-    }
-    known_ = state;
-    unowned_.reset();
     agreedAt_.reset();
     consent_.stop();
-    if (state.term > termSeen_) {
-        termSeen_ = state.term;
-        termSeenAt_ = now;
-    }
     reservation_.noteTermSeen(state.term);
     followKeeper_.setPrimary(state.term, state.primary);
     actions_.emplace_back(PrimaryKnown{group_.name, state.term, state.primary, state.owner});
@@ -305,25 +299,21 @@
 void GroupFailover::learnFromDatabase(const Watched &watched, Core::Instant now)
 {
     const Upstream::Status &status = *watched.status;
-    if (!isPrimaryOfItsTerm(status) || status.knownTerm <= known_.term)
+    if (!isPrimaryOfItsTerm(status))
         return;
-    const bool isNew = !unowned_ || unowned_->term != status.knownTerm;
-    unowned_ = Known{.term = status.knownTerm, .primary = watched.database.name};
+    const bool isNew = knowledge_.noteUnowned(status.knownTerm, watched.database.name);
     resolveOwner(now);
-    if (unowned_ && isNew)
+    if (isNew && knowledge_.awaitsOwner())
         note("owner_unknown", {{"term", std::to_string(status.knownTerm)}});
 }
 
 void GroupFailover::resolveOwner(Core::Instant now)
 {
-    if (!unowned_ || !reservation_.object())
+    if (!reservation_.object())
         return;
-    const std::optional<Core::HalfName> owner = reservation_.object()->ownerIn(unowned_->term);
-    if (!owner)
-        return;
-    Known found = *unowned_;
-    found.owner = *owner;
-    learn(found, policy_.relayFanOut, now);
+    const std::optional<KnownPrimary> owned = knowledge_.ownedBy(*reservation_.object());
+    if (owned)
+        learn(*owned, policy_.relayFanOut, now);
 }
 
 void GroupFailover::learnFromObject(Core::Instant now)
@@ -332,9 +322,9 @@
     if (!object)
         return;
     const CurrentPrimary &current = object->current;
-    if (current.term > known_.term)
-        learn({current.term, current.primary, object->ownerIn(current.term).value_or(known_.owner)},
-              policy_.relayFanOut, now);
+    const std::optional<Core::HalfName> owner = object->ownerIn(current.term);
+    if (current.term > 0 && owner)
+        learn({current.term, current.primary, *owner}, policy_.relayFanOut, now);
     resolveOwner(now);
 }
 
@@ -346,19 +336,20 @@
         const std::size_t pick = chosen + random_.below(peers.size() - chosen);
         std::swap(peers[chosen], peers[pick]);
         sendToPeer(peers[chosen].name,
-                   GroupState{group_.name, known_.term, known_.primary, known_.owner});
+                   GroupState{group_.name, knowledge_.known().term, knowledge_.known().primary,
+                              knowledge_.known().owner});
     }
 }
 
 void GroupFailover::askForState(Core::Instant now)
 {
-    const bool searches = known_.term == 0 || termSeen_ > known_.term;
+    const bool searches = knowledge_.isOutdated();
     if (!searches || isUnderWay(promotion_))
         return;
     if (askedStateAt_ && now - *askedStateAt_ < searchInterval)
         return;
     askedStateAt_ = now;
-    if (unowned_)
+    if (knowledge_.awaitsOwner())
         reservation_.refresh();
     const std::size_t count = std::min(peersSearched, live_.size());
     const std::size_t first = live_.empty() ? 0 : random_.below(live_.size());
@@ -398,38 +389,37 @@
 
 bool GroupFailover::isPrimaryLost(Core::Instant now) const
 {
-    const Watched *primary = find(known_.primary);
+    const Watched *primary = find(knowledge_.known().primary);
     return primary != nullptr && primary->detector.health(now) == Health::Unreachable;
 }
 
 bool GroupFailover::isAbandoned(Core::Instant now) const
 {
-    if (unowned_ && unowned_->term == termSeen_)
-        return false;
-    if (known_.term == 0 || termSeen_ > known_.term)
-        return now - termSeenAt_ >= policy_.abandonedAfter;
+    if (knowledge_.isOutdated())
+        return !knowledge_.hasPrimaryInHighestTerm()
+            && now - knowledge_.termSeenAt() >= policy_.abandonedAfter;
     const std::optional<Core::Instant> lostSince = followKeeper_.primaryLostSince();
     return lostSince && now - *lostSince >= policy_.abandonedAfter;
 }
 
 void GroupFailover::considerLoss(Core::Instant now)
 {
-    if (termSeen_ > known_.term)
+    if (knowledge_.isOutdated())
         return; // Someone is at it; considerAbandoned() watches over that.
     if (!isPrimaryLost(now) || suspectsItself(now)) {
         consent_.stop();
         agreedAt_.reset();
         return;
     }
-    const SuspicionDetector &detector = find(known_.primary)->detector;
+    const SuspicionDetector &detector = find(knowledge_.known().primary)->detector;
     if (!consent_.isAsking()) {
         consent_.start(watchers_, now);
         note("primary_suspected",
-             {{"database", known_.primary.value()},
+             {{"database", knowledge_.known().primary.value()},
               {"refused", detector.isRefused() ? "yes" : "no"}});
     }
     for (const auto &peer : consent_.dueQuestions(now))
-        sendToPeer(peer, PeerQuery{group_.name, known_.primary, consent_.queryId()});
+        sendToPeer(peer, PeerQuery{group_.name, knowledge_.known().primary, consent_.queryId()});
     if (!agreedAt_ && consent_.decide(detector.isRefused(), now) == PeerConsent::Decision::Wait)
         return;
     if (!agreedAt_) {
@@ -445,7 +435,7 @@
     if (isUnderWay(promotion_) || !isAbandoned(now) || suspectsItself(now))
         return;
     timings_ = FailoverTimings{.group = group_.name};
-    promoteAfterRankDelay(termSeenAt_ + policy_.abandonedAfter, now);
+    promoteAfterRankDelay(knowledge_.termSeenAt() + policy_.abandonedAfter, now);
 }
 
 void GroupFailover::promoteAfterRankDelay(Core::Instant ripeSince, Core::Instant now)
@@ -513,7 +503,8 @@
     timings_.fence = *promotion_->fencedAt() - promotion_->startedAt();
     timings_.promote = *promotion_->promotedAt() - *promotion_->fencedAt();
     reservation_.publish({term, promotion_->chosen(), self_.name});
-    learn({term, promotion_->chosen(), owner.value_or(known_.owner)}, policy_.announceFanOut, now);
+    learn({term, promotion_->chosen(), owner.value_or(knowledge_.known().owner)},
+          policy_.announceFanOut, now);
 }
 
 void GroupFailover::reportTimings(Core::Instant now)
@@ -527,12 +518,13 @@
 
 void GroupFailover::keepFollowing(Core::Instant now)
 {
-    if (known_.term == 0 || termSeen_ > known_.term || promotion_)
+    if (knowledge_.isOutdated() || promotion_)
         return;
-    const Watched *primary = find(known_.primary);
+    const Watched *primary = find(knowledge_.known().primary);
     if (primary == nullptr)
         return;
-    const Upstream::Follow follow{known_.term, known_.primary, primary->database.address};
+    const Upstream::Follow follow{knowledge_.known().term, knowledge_.known().primary,
+                                  primary->database.address};
     const Core::Duration patience =
         policy_.promotion.followRetryInterval * static_cast<std::int64_t>(watcherRank() + 1);
     for (const auto &watched : databases_) {
--- a/Libraries/Failover/GroupFailover.h
+++ b/Libraries/Failover/GroupFailover.h
@@ -9,6 +9,7 @@
 #include <Failover/PeerConsent.h>
 #include <Failover/PeerMessages.h>
 #include <Failover/Policy.h>
+#include <Failover/PrimaryKnowledge.h>
 #include <Failover/PromotionCoordinator.h>
 #include <Failover/RequestLedger.h>
 #include <Failover/Settings.h>
@@ -112,13 +113,6 @@
         std::optional<Core::Instant> pingedAt;
     };
 
-    struct Known
-    {
-        Core::Term term = 0;
-        Core::DatabaseName primary;
-        Core::HalfName owner;
-    };
-
     Watched *find(const Core::DatabaseName &);
     [[nodiscard]] const Watched *find(const Core::DatabaseName &) const;
     [[nodiscard]] bool isWatcher() const;
@@ -133,7 +127,7 @@
 
     // Learning.
     void noteStatus(Watched &, const Upstream::Status &, Core::Instant now);
-    void learn(const Known &, std::size_t tellCount, Core::Instant now);
+    void learn(const KnownPrimary &, std::size_t tellCount, Core::Instant now);
     void learnFromDatabase(const Watched &, Core::Instant now);
     void resolveOwner(Core::Instant now);
     void learnFromObject(Core::Instant now);
@@ -166,10 +160,7 @@
     std::vector<Watched> databases_;
     TermReservation reservation_;
     PeerConsent consent_;
-    Known known_;
-    std::optional<Known> unowned_; ///< A primary whose owner isn't known yet.
-    Core::Term termSeen_ = 0;
-    Core::Instant termSeenAt_;
+    PrimaryKnowledge knowledge_;
     std::optional<Core::Instant> agreedAt_;
     std::optional<PromotionCoordinator> promotion_;
     bool isAnnounced_ = false; ///< Whether the promotion's success was told.
