--- a/Meta/Models/failover.pml
+++ b/Meta/Models/failover.pml
@@ -6,6 +6,13 @@
  * Checked: a write that was ever acknowledged is in the log of every primary of a higher term, and
  * a term has at most one primary.
  *
+ * RECONCILE_AT_ONCE makes a second good model, in which a replica's held mark keeps its term until
+ * the replica holds the new primary's log up to that primary's own first entry. There, a database
+ * may count for a write whatever it knows (COUNT_LATER_TERMS), since no mark of an old term grows.
+ *
+ * INFER_PRIMARY makes good variants, in which one replica's answer is enough: it got the write from
+ * the primary, which therefore holds it too.
+ *
  * The following make broken variants, which must fail:
  *   FENCE_ONE          a coordinator chooses after the fence of one database
  *   ACKNOWLEDGE_EARLY  a write is acknowledged when the primary alone holds it
@@ -30,7 +37,8 @@
 byte follows[DATABASES]; /* 0: nobody; else the number of the database plus 1. */
 byte length[DATABASES];
 byte entryTerm[DATABASES * LENGTH];
-#ifdef HELD_BY_FOLLOWING
+#if defined(HELD_BY_FOLLOWING) || defined(RECONCILE_AT_ONCE)
+#define CLAIMS
 byte claimedTerm[DATABASES] = 1;
 #endif
 
@@ -46,7 +54,7 @@
 
 byte i; /* Within d_step only, and 0 again after it. */
 
-#ifdef HELD_BY_FOLLOWING
+#ifdef CLAIMS
 #define HELD_TERM(d) claimedTerm[d]
 #else
 #define HELD_TERM(d) (length[d] == 0 -> 0 : entryTerm[(d) * LENGTH + length[d] - 1])
@@ -75,11 +83,35 @@
            || (!LACKS(2, w) && !LACKS(3, w) && !LACKS(4, w)));
 }
 
-/* The replica drops what its primary's log lacks, and takes one entry. */
+#ifdef RECONCILE_AT_ONCE
+#define NEEDS_ALL(d) (claimedTerm[d] != knownTerm[d])
+#else
+#define NEEDS_ALL(d) 0
+#endif
+
+/*
+ * The replica drops what its primary's log lacks, and takes one entry; or, with RECONCILE_AT_ONCE,
+ * it first takes all entries up to the primary's first one of its term together.
+ */
 inline pull(d, p)
 {
     d_step {
         i = 0;
+#ifdef RECONCILE_AT_ONCE
+        if
+        :: NEEDS_ALL(d) ->
+            length[d] = promotedLength[knownTerm[d]] + 1;
+            claimedTerm[d] = knownTerm[d];
+            do
+            :: i < LENGTH ->
+                entryTerm[d * LENGTH + i] = (i < length[d] -> entryTerm[p * LENGTH + i] : 0);
+                i++
+            :: else -> break
+            od
+        :: else
+        fi;
+        i = 0;
+#endif
         do
         :: (i < length[d] && i < length[p]
             && entryTerm[d * LENGTH + i] == entryTerm[p * LENGTH + i]) -> i++
@@ -101,7 +133,7 @@
 
 #define CAN_PULL(d, p)                                                                             \
     (follows[d] == p + 1 && isPrimary[p] && knownTerm[p] == knownTerm[d]                           \
-     && (length[d] < length[p]))
+     && (length[d] < length[p] || NEEDS_ALL(d)))
 
 inline write(d)
 {
@@ -110,6 +142,9 @@
         length[d]++;
         writeTerm[written] = knownTerm[d];
         writeLength[written] = length[d];
+#ifdef INFER_PRIMARY
+        writeSeen[written] = 1 << d;
+#endif
 #ifdef ACKNOWLEDGE_EARLY
         isAcknowledged[written] = 1;
         checkWrite(written);
@@ -218,7 +253,7 @@
             i = 0;
             entryTerm[d * LENGTH + length[d]] = term;
             length[d]++;
-#ifdef HELD_BY_FOLLOWING
+#ifdef CLAIMS
             claimedTerm[d] = term;
 #endif
             checkWrite(0);
