--- a/Tests/Failover/TestFailover.cpp
+++ b/Tests/Failover/TestFailover.cpp
@@ -263,6 +263,32 @@
     }
 }
 
+TEST(Failover, NodesThatDontWatchLearnTooAndStayCheap)
+{
+    FakeFleet fleet({}, 7);
+    std::size_t pings = 0;
+    fleet.beforeSend = [&](std::size_t node, const Upstream::RequestBody & /*body*/) {
+        if (!fleet.nodes[node].manager.view(FakeFleet::groupName())->isWatcher)
+            ++pings;
+    };
+    fleet.run(2_s);
+    pings = 0;
+    fleet.platform.calls = 0;
+    fleet.run(60_s);
+    LONGS_EQUAL(0, pings);
+    CHECK(fleet.platform.calls <= 7 * 60 / 30 + 7);
+    fleet.callers = {0, 1, 2, 3, 4, 5, 6};
+    fleet.run(200_ms);
+    fleet.longestGap = {};
+    fleet.kill(0);
+    fleet.run(2_s);
+    const PrimaryKnown &known = fleet.nodes[0].known.back();
+    for (const auto &node : fleet.nodes)
+        CHECK(node.known.back().term == known.term && node.known.back().database == known.database);
+    CHECK(fleet.longestGap <= 1_s);
+    STRCMP_EQUAL("", fleet.broken.c_str());
+}
+
 TEST(Failover, CoordinatorReportsThePartsOfTheGap)
 {
     FakeFleet fleet;
