--- a/Tests/Ownership/TestHandover.cpp
+++ b/Tests/Ownership/TestHandover.cpp
@@ -76,6 +76,20 @@
 
 TEST_GROUP(Handover){};
 
+TEST(Handover, WithoutTakeOverAChangeEndsWithItsDriver)
+{
+    HandoverPolicy weakened;
+    weakened.takeOverAfter = 60_s;
+    for (const Inflict inflict : {killDriver, pauseDriver, cutDriverFromPlatform}) {
+        OwnedFleet owned(weakened);
+        owned.desire(west);
+        owned.runUntil(HandoverState::TakingTerm);
+        inflict(owned);
+        owned.fleet.run(8_s);
+        CHECK(!owned.belongsTo(west));
+    }
+}
+
 TEST(Handover, GroupChangesOwnerWithinASecond)
 {
     OwnedFleet owned;
