--- a/Tests/UpstreamStandIn/TestConnection.cpp
+++ b/Tests/UpstreamStandIn/TestConnection.cpp
@@ -6,10 +6,13 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 using namespace Chervilpin;
@@ -335,6 +338,34 @@
     LONGS_EQUAL(0, position());
 }
 
+TEST(Connection, JournalOutlivesARestart)
+{
+    const std::string path = std::filesystem::temp_directory_path()
+        / ("chervilpin-upstream-" + std::to_string(::getpid()));
+    const auto useJournal = [&path](Options &options) {
+        options.journalPath = path;
+    };
+    start("a", useJournal);
+    auto caller = openAndGreet();
+    send(*caller, Wire::STATEMENT_KIND_WRITE, "put k two\nlines");
+    runUntil(*caller, 1);
+    // Its timer belongs to the process that is about to end.
+    caller.reset();
+    CHECK(database->state().fence({3}).verdict == Upstream::Verdict::Done);
+    database->stateChanged();
+
+    start("a", useJournal);
+    LONGS_EQUAL(3, database->state().status().knownTerm);
+    CHECK((database->state().status().held == Core::LogMark{1, 1}));
+    CHECK(database->state().status().role == Upstream::Role::Replica);
+
+    std::ofstream(path, std::ios::app) << "{}\n";
+    Options options;
+    options.journalPath = path;
+    CHECK(!Database::create(*context, options).has_value());
+    std::filesystem::remove(path);
+}
+
 TEST(Connection, AuditTellsConnectionTransactionAndKeys)
 {
     database->secrets().registerSecret("key-1");
