--- a/Libraries/StandIn/AuditChecker.cpp
+++ b/Libraries/StandIn/AuditChecker.cpp
@@ -1,5 +1,6 @@
 #include <StandIn/AuditChecker.h>
 
+#include <StandIn/LogEntryJson.h>
 #include <StandIn/StatementText.h>
 
 #include <algorithm>
@@ -13,16 +14,6 @@
 
 namespace {
 
-LogEntry entryFrom(const boost::json::value &json)
-{
-    LogEntry entry;
-    entry.mark.term = json.at("term").to_number<Core::Term>();
-    entry.mark.position = json.at("position").to_number<Core::LogPosition>();
-    for (const auto &write : json.at("writes").as_array())
-        entry.writes.emplace_back(write.as_string());
-    return entry;
-}
-
 std::string textAt(const boost::json::value &json, std::string_view field)
 {
     return std::string(json.at(field).as_string());
@@ -50,7 +41,7 @@
     for (const auto &entry : audit.at("entries").as_array())
         database.statements.push_back(statementFrom(entry));
     for (const auto &entry : log.at("entries").as_array())
-        database.log.push_back(entryFrom(entry));
+        database.log.push_back(logEntryFromJson(entry));
     database.keySightings = audit.at("key_seen").as_array().size();
     return database;
 }
--- a/Services/UpstreamStandIn/ControlService.cpp
+++ b/Services/UpstreamStandIn/ControlService.cpp
@@ -1,5 +1,7 @@
 #include "ControlService.h"
 
+#include <StandIn/LogEntryJson.h>
+
 #include <array>
 #include <boost/json/array.hpp>
 #include <utility>
@@ -27,18 +29,6 @@
     return json;
 }
 
-boost::json::object entryOf(const StandIn::LogEntry &entry)
-{
-    boost::json::array writes;
-    for (const auto &write : entry.writes)
-        writes.emplace_back(write);
-    boost::json::object json;
-    json["term"] = entry.mark.term;
-    json["position"] = entry.mark.position;
-    json["writes"] = std::move(writes);
-    return json;
-}
-
 } // namespace
 
 ControlService::ControlService(Database &database)
@@ -98,7 +88,7 @@
     boost::json::array entries;
     for (const auto &entry : database_.state().log()) {
         if (entry.mark.position > since)
-            entries.push_back(entryOf(entry));
+            entries.push_back(StandIn::toJson(entry));
     }
     auto json = statusOf(database_);
     json["entries"] = std::move(entries);
--- a/Services/UpstreamStandIn/JournalFile.cpp
+++ b/Services/UpstreamStandIn/JournalFile.cpp
@@ -1,5 +1,7 @@
 #include "JournalFile.h"
 
+#include <StandIn/LogEntryJson.h>
+
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -8,27 +10,14 @@
 namespace Chervilpin::UpstreamStandIn {
 
 using StandIn::JournalRecord;
-using StandIn::LogEntry;
 
 namespace {
 
-boost::json::object toJson(const LogEntry &entry)
-{
-    boost::json::array writes;
-    for (const auto &write : entry.writes)
-        writes.emplace_back(write);
-    boost::json::object json;
-    json["term"] = entry.mark.term;
-    json["position"] = entry.mark.position;
-    json["writes"] = std::move(writes);
-    return json;
-}
-
 boost::json::object toJson(const JournalRecord &record)
 {
     boost::json::array entries;
     for (const auto &entry : record.entries)
-        entries.push_back(toJson(entry));
+        entries.push_back(StandIn::toJson(entry));
     boost::json::object json;
     json["known_term"] = record.knownTerm;
     json["lineage"] = record.lineage;
@@ -40,16 +29,6 @@
     return json;
 }
 
-LogEntry entryFrom(const boost::json::value &json)
-{
-    LogEntry entry;
-    entry.mark.term = json.at("term").to_number<Core::Term>();
-    entry.mark.position = json.at("position").to_number<Core::LogPosition>();
-    for (const auto &write : json.at("writes").as_array())
-        entry.writes.emplace_back(write.as_string());
-    return entry;
-}
-
 JournalRecord recordFrom(const boost::json::value &json)
 {
     JournalRecord record;
@@ -61,7 +40,7 @@
     record.primaryAddress = std::string(json.at("primary_address").as_string());
     record.kept = json.at("kept").to_number<Core::LogPosition>();
     for (const auto &entry : json.at("entries").as_array())
-        record.entries.push_back(entryFrom(entry));
+        record.entries.push_back(StandIn::logEntryFromJson(entry));
     return record;
 }
 
