Keep a test caller's read alive until it has ended

The address sanitizer showed that a read cancelled by the end of its caller still used the caller's buffer. Only the test's own caller did so; the server's connections keep themselves.

--- a/Tests/PlatformStandIn/HttpClient.h
+++ b/Tests/PlatformStandIn/HttpClient.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,9 +38,9 @@
 public:
     HttpClient(boost::asio::io_context &context, std::uint16_t port)
         : context_(context)
-        , socket_(context)
+        , state_(std::make_shared<State>(context))
     {
-        socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        state_->socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
     }
 
     /// Sends a request and starts to wait for its answer.
@@ -56,25 +57,27 @@
             request.set("Data-Centre", call.dataCentre);
         request.body() = call.body;
         request.prepare_payload();
-        http::write(socket_, request);
-        reply_.reset();
-        parser_.emplace();
-        parser_->body_limit(boost::none);
-        http::async_read(socket_, buffer_, *parser_, [this](auto error, std::size_t) {
-            if (error)
-                return;
-            const auto &message = parser_->get();
-            reply_ = HttpReply{message.result_int(), message.body(),
-                               std::string(message["Store-Revision"])};
-        });
+        http::write(state_->socket, request);
+        state_->reply.reset();
+        state_->parser.emplace();
+        state_->parser->body_limit(boost::none);
+        auto &state = *state_;
+        http::async_read(state.socket, state.buffer, *state.parser,
+                         [kept = state_](auto error, auto) {
+                             if (error)
+                                 return;
+                             const auto &message = kept->parser->get();
+                             kept->reply = HttpReply{message.result_int(), message.body(),
+                                                     std::string(message["Store-Revision"])};
+                         });
     }
 
     /// Runs everything until the answer to the last request is there.
     HttpReply wait()
     {
-        while (!reply_)
+        while (!state_->reply)
             context_.run_one();
-        return *reply_;
+        return *state_->reply;
     }
 
     HttpReply call(const HttpCall &call)
@@ -83,14 +86,32 @@
         return wait();
     }
 
-    [[nodiscard]] bool isAnswered() const { return reply_.has_value(); }
+    ~HttpClient()
+    {
+        boost::system::error_code error;
+        state_->socket.close(error);
+    }
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    [[nodiscard]] bool isAnswered() const { return state_->reply.has_value(); }
 
 private:
+    /// Outlives the client while a read is under way, which may end after it.
+    struct State
+    {
+        explicit State(boost::asio::io_context &context)
+            : socket(context)
+        { }
+
+        boost::asio::ip::tcp::socket socket;
+        boost::beast::flat_buffer buffer;
+        std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+        std::optional<HttpReply> reply;
+    };
+
     boost::asio::io_context &context_;
-    boost::asio::ip::tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
-    std::optional<HttpReply> reply_;
+    std::shared_ptr<State> state_;
 };
 
 } // namespace Chervilpin::PlatformStandIn
