Properties: call chosen acts through a named pointer

With the address sanitizer the compiler takes the element of the constant table for uninitialised and the build fails; a named copy avoids it.

--- a/Tests/Configuration/TestProperties.cpp
+++ b/Tests/Configuration/TestProperties.cpp
@@ -49,7 +49,8 @@
             &Schedule::propose,  &Schedule::propose,  &Schedule::propose,
             &Schedule::cutPeers, &Schedule::cutStore, &Schedule::loseMuch,
             &Schedule::heal,     &Schedule::restart,  &Schedule::staleReads};
-        (this->*acts[static_cast<std::size_t>(action)])(node);
+        const Act chosen = acts[static_cast<std::size_t>(action)];
+        (this->*chosen)(node);
         fleet_.run(stepTime);
     }
     static constexpr int actions = 9;
--- a/Tests/Membership/TestProperties.cpp
+++ b/Tests/Membership/TestProperties.cpp
@@ -47,7 +47,8 @@
         static constexpr Act acts[] = {&Schedule::kill,   &Schedule::start, &Schedule::pause,
                                        &Schedule::resume, &Schedule::cut,   &Schedule::leave,
                                        &Schedule::outage};
-        (this->*acts[static_cast<std::size_t>(action)])(node);
+        const Act chosen = acts[static_cast<std::size_t>(action)];
+        (this->*chosen)(node);
         fleet_.run(stepTime);
     }
     static constexpr int actions = 7;
