Membership property: don't look for a node in its own list

The assertion macro evaluates both sides of an alternative, so the address sanitizer run found a null member being read. The node itself is skipped now, and a missing member fails the property.

--- a/Tests/Membership/TestProperties.cpp
+++ b/Tests/Membership/TestProperties.cpp
@@ -75,8 +75,11 @@
         }
         for (const std::string &name : leaving_) {
             for (const std::string &other : running_) {
+                if (other == name)
+                    continue;
                 const Member *member = fleet_.node(other).find(Core::NodeName(name));
-                RC_ASSERT(other == name || member->isLeaving);
+                RC_ASSERT(member != nullptr);
+                RC_ASSERT(member->isLeaving);
             }
         }
     }
