Mends of the request path found by reading it beside the modules

Cause: a review of the pipeline against the contracts of Execute and Route found that a hedged second answer could replace the one being confirmed, that a Begin on a superseded primary hung until its deadline, that a read waited for freshness which the router had already looked for, that reads waiting for a sample were forgotten when no connection was open, that a stopping VM refused the commit of an open transaction, and that a VM without configuration called every route unknown. Event names no longer carry their module twice. A leaving primary keeps its connections, so that its group's writes don't stop.

--- a/Libraries/Answer/AnswerWriter.cpp
+++ b/Libraries/Answer/AnswerWriter.cpp
@@ -36,6 +36,7 @@
     case RefusalReason::QueueFull:
     case RefusalReason::NoPrimary:
     case RefusalReason::NotFreshEnough:
+    case RefusalReason::NotReady:
     case RefusalReason::ShuttingDown:
     case RefusalReason::DeadlinePassed:
         return 503;
--- a/Libraries/Engine/CallerMessages.cpp
+++ b/Libraries/Engine/CallerMessages.cpp
@@ -27,6 +27,8 @@
         return "wrong_half";
     case RefusalReason::TransactionEnded:
         return "transaction_ended";
+    case RefusalReason::NotReady:
+        return "not_ready";
     case RefusalReason::ShuttingDown:
         return "shutting_down";
     case RefusalReason::UpstreamFailed:
--- a/Libraries/Engine/CallerMessages.h
+++ b/Libraries/Engine/CallerMessages.h
@@ -63,8 +63,9 @@
     NotFreshEnough,   ///< No reachable database is proved fresh enough.
     WrongHalf,        ///< The other half owns the group; see `location`.
     TransactionEnded, ///< The transaction is gone (rolled back), or isn't the caller's.
+    NotReady,         ///< This proxy has no configuration yet; another will serve.
     ShuttingDown,     ///< This proxy is stopping; another will serve.
-    UpstreamFailed,   ///< The database ran it, failed, and undid it.
+    UpstreamFailed,   ///< The database ran it, failed and undid it; the outcome is told as unknown.
     AnswerLost,       ///< It was sent and no answer came; the outcome is unknown.
 };
 
--- a/Libraries/Engine/ControlPlane.cpp
+++ b/Libraries/Engine/ControlPlane.cpp
@@ -240,8 +240,7 @@
                     now);
         },
         [&](const Membership::Event &event) {
-            node_.outbox.log(EventLevel::Warning,
-                             "membership_" + std::string(Membership::toString(event.kind)),
+            node_.outbox.log(EventLevel::Warning, std::string(Membership::toString(event.kind)),
                              {{"detail", event.detail}});
         },
     };
@@ -268,8 +267,7 @@
             perform(operators_.proposalAnswered(answer, now), now);
         },
         [&](const Configuration::Event &event) {
-            node_.outbox.log(EventLevel::Info,
-                             "configuration_" + std::string(Configuration::toString(event.kind)),
+            node_.outbox.log(EventLevel::Info, std::string(Configuration::toString(event.kind)),
                              {{"revision", numberText(event.revision)}, {"detail", event.detail}});
         },
     };
@@ -351,7 +349,7 @@
     std::vector<EventField> fields;
     for (const auto &field : event.fields)
         fields.push_back({field.name, field.value});
-    node_.outbox.log(EventLevel::Info, "failover_" + event.name, std::move(fields));
+    node_.outbox.log(EventLevel::Info, event.name, std::move(fields));
 }
 
 void ControlPlane::logTimings(const Failover::FailoverTimings &timings)
@@ -424,8 +422,12 @@
 void ControlPlane::reportUse()
 {
     for (const auto &[name, group] : node_.groups) {
+        const auto primary = group.view.primary();
         for (const auto &[databaseName, database] : group.databases) {
-            const std::uint32_t wanted = database.settings.isLeaving ? 0 : database.pool.wanted();
+            const bool isPrimary = primary && primary->database == databaseName;
+            // A primary that is leaving keeps its writes until its role has moved.
+            const bool isEmptied = database.settings.isLeaving && !isPrimary;
+            const std::uint32_t wanted = isEmptied ? 0 : database.pool.wanted();
             allotment_->setUse(Allotment::ResourceLimit::connectionsOf(databaseName), wanted,
                                database.pool.size());
         }
--- a/Libraries/Engine/Request.h
+++ b/Libraries/Engine/Request.h
@@ -62,6 +62,7 @@
     std::string beginName;                ///< Begin: the name of the new transaction.
     std::optional<OpenAttempt> delivered; ///< The attempt whose answer will be the caller's.
     Upstream::Answer answer;              ///< Of that attempt.
+    std::string failure; ///< What the database said of the last attempt that was not delivered.
 
     Trace::TraceContext trace;
     std::string callerSpanId; ///< The caller's own span, or empty.
--- a/Libraries/Engine/RequestPipeline.cpp
+++ b/Libraries/Engine/RequestPipeline.cpp
@@ -13,6 +13,7 @@
 constexpr Core::Duration ownerRetryAfter = 500_ms;
 constexpr Core::Duration isolatedRetryAfter = 1_s;
 constexpr Core::Duration stoppingRetryAfter = 100_ms;
+constexpr Core::Duration notReadyRetryAfter = 500_ms;
 constexpr Core::Duration expiredRetryAfter = 250_ms;
 /// A statement that runs under a withdrawn key is cut after this.
 constexpr Core::Duration withdrawnGrace = 2_s;
@@ -78,7 +79,8 @@
     Request &request = requests_[id];
     request.caller = std::move(caller);
     prepare(request, now);
-    if (isRefusingNew_) {
+    // A transaction that is open may still be ended.
+    if (isRefusingNew_ && !request.isInTransaction()) {
         refuse(request,
                {RefusalReason::ShuttingDown, "this VM is stopping", stoppingRetryAfter, {}}, now);
         return;
@@ -112,6 +114,9 @@
 
 RequestPipeline::MaybeRefusal RequestPipeline::authenticate(Request &request, Core::Instant now)
 {
+    if (node_.snapshot->revision() == 0)
+        return Refusal{
+            RefusalReason::NotReady, "this VM has no configuration yet", notReadyRetryAfter, {}};
     const auto *route = node_.snapshot->findRoute(Core::RouteName(request.caller.route));
     if (!route)
         return Refusal{RefusalReason::UnknownRoute, "no such route", {}, {}};
@@ -323,7 +328,9 @@
         cutIf([](const Request &request) { return !request.keyId.isEmpty(); },
               [](const Transaction &transaction) { return !transaction.keyId.isEmpty(); }, now);
     }
-    for (const auto &[name, group] : node_.groups) {
+    for (auto &[name, group] : node_.groups) {
+        if (!group.sampling.empty() && !group.isSampleOutstanding)
+            sampleAgain(group, now);
         if (!group.reads.isEmpty() || !group.writes.isEmpty() || group.tracker.waitingCount() > 0)
             node_.changedGroups.insert(name);
     }
--- a/Libraries/Engine/RequestPipeline.h
+++ b/Libraries/Engine/RequestPipeline.h
@@ -78,6 +78,7 @@
     void waitForPrimary(Request &, const Route::Refuse &, Core::Instant now);
     void waitForSample(Request &, GroupRuntime &);
     void askForSample(GroupRuntime &, Core::Instant now);
+    void sampleAgain(GroupRuntime &, Core::Instant now);
     void borrow(Request &, GroupRuntime &, Core::Instant now);
     void serveWaiting(GroupRuntime &, Core::Instant now);
     void hedge(Request &, Core::Instant now);
@@ -87,6 +88,7 @@
                             const Route::SendTo &, Core::Instant now);
     void delivered(Request &, GroupRuntime &, Core::Instant now);
     void deliveredRead(Request &, GroupRuntime &, Core::Instant now);
+    void releaseRead(Request &, Core::Instant now);
     void deliveredInTransaction(Request &, GroupRuntime &, Core::Instant now);
     void beginDelivered(Request &, Core::Instant now);
     void releaseConnection(const Outstanding &, const Upstream::Answer &, bool isPinned,
--- a/Libraries/Engine/RequestPipelineExecute.cpp
+++ b/Libraries/Engine/RequestPipelineExecute.cpp
@@ -82,7 +82,7 @@
     wanted.deadline = request.deadline;
     wanted.excluded = request.excluded;
     for (const auto &[name, database] : group.databases) {
-        if (database.settings.isLeaving)
+        if (database.settings.isLeaving && request.isRead())
             wanted.excluded.push_back(name);
     }
     const auto decision = router_.route(wanted, group.view, now);
@@ -107,8 +107,8 @@
 void RequestPipeline::waitForPrimary(Request &request, const Route::Refuse &refusal,
                                      Core::Instant now)
 {
-    const bool mayChange = refusal.reason == RefusalReason::NoPrimary
-        || refusal.reason == RefusalReason::NotFreshEnough;
+    // The router has already looked for a database that is fresh enough; only a primary can come.
+    const bool mayChange = refusal.reason == RefusalReason::NoPrimary;
     const Core::Instant end = std::min(request.arrived.at + longestPrimaryWait, request.deadline);
     if (!mayChange || now + primaryPoll >= end) {
         apply(request, request.attempts->refused(refusal.reason, refusal.retryAfter, now), now);
@@ -140,6 +140,14 @@
                                     .has_value();
 }
 
+void RequestPipeline::sampleAgain(GroupRuntime &group, Core::Instant now)
+{
+    askForSample(group, now);
+    // With nobody to ask, the reads are routed again, which waits for a primary or refuses them.
+    if (!group.isSampleOutstanding)
+        sampleEnded(group, now);
+}
+
 void RequestPipeline::sampleEnded(GroupRuntime &group, Core::Instant now)
 {
     group.isSampleOutstanding = false;
@@ -291,18 +299,23 @@
         return;
     }
     const auto open = std::ranges::find(request->open, purpose.attempt, &OpenAttempt::id);
+    std::optional<OpenAttempt> attempt;
     if (open != request->open.end()) {
-        request->delivered = *open;
+        attempt = *open;
         request->open.erase(open);
     }
     auto context = retryContext(*request, now);
     const auto step =
         request->attempts->answered(purpose.attempt, answer.verdict, answer.reason, context, now);
-    request->answer = std::move(answer);
-    if (std::holds_alternative<Execute::Deliver>(step))
+    if (std::holds_alternative<Execute::Deliver>(step)) {
+        // A hedged second answer must not take the place of the one that is being confirmed.
+        request->delivered = attempt;
+        request->answer = std::move(answer);
         delivered(*request, *group, now);
-    else
+    } else {
+        request->failure = std::move(answer.message);
         apply(*request, step, now);
+    }
     if (!isPinned && !purpose.transaction.empty() && purpose.kind != RequestKind::Begin)
         transactions_.remove(purpose.transaction);
 }
@@ -366,7 +379,7 @@
         answer.outcome = end->outcome;
         answer.reason = end->reason;
         answer.retryAfter = end->retryAfter;
-        answer.message = request.answer.message;
+        answer.message = request.failure;
         finish(request, std::move(answer), now);
     }
 }
--- a/Libraries/Engine/RequestPipelineFinish.cpp
+++ b/Libraries/Engine/RequestPipelineFinish.cpp
@@ -24,7 +24,7 @@
     const auto verdict = Route::verifyRead(attempt.target.demand, request.answer.status,
                                            attempt.asked, group.view, now);
     if (verdict == Route::ReadVerdict::Release) {
-        finishDone(request, now);
+        releaseRead(request, now);
         return;
     }
     if (verdict == Route::ReadVerdict::Confirm) {
@@ -35,6 +35,15 @@
     apply(request, request.attempts->rejected(attempt.id, context, now), now);
 }
 
+void RequestPipeline::releaseRead(Request &request, Core::Instant now)
+{
+    // A strong read covers the session's earlier writes, so that its next read needs no sample.
+    const Route::ReadDemand &demand = request.delivered->target.demand;
+    if (demand.freshness == Freshness::Strong)
+        request.token.advance(request.group, Route::coveredMark(demand, request.answer.status));
+    finishDone(request, now);
+}
+
 void RequestPipeline::deliveredInTransaction(Request &request, GroupRuntime &group,
                                              Core::Instant now)
 {
@@ -61,7 +70,9 @@
     if (mark && !Route::contains(request.answer.status.held, *mark)) {
         // A superseded primary; the session's own writes are elsewhere.
         rollBack(*transactions_.find(request.beginName), now);
-        apply(request, request.attempts->refused(RefusalReason::NotFreshEnough, {}, now), now);
+        request.beginName.clear();
+        auto context = retryContext(request, now);
+        apply(request, request.attempts->rejected(attempt.id, context, now), now);
         return;
     }
     if (request.cutAt)
@@ -119,9 +130,18 @@
 
 void RequestPipeline::confirmed(Request &request, Core::Instant now)
 {
-    if (request.isWriteLike())
+    if (request.isWriteLike()) {
         request.token.advance(request.group, request.answer.status.held);
-    finishDone(request, now);
+        finishDone(request, now);
+        return;
+    }
+    const OpenAttempt &attempt = *request.delivered;
+    const auto verdict = Route::verifyRead(attempt.target.demand, request.answer.status,
+                                           attempt.asked, groupOf(request).view, now);
+    if (verdict == Route::ReadVerdict::Reject)
+        notConfirmed(request, now);
+    else
+        releaseRead(request, now);
 }
 
 void RequestPipeline::notConfirmed(Request &request, Core::Instant now)
--- a/Tests/Answer/TestAnswerWriter.cpp
+++ b/Tests/Answer/TestAnswerWriter.cpp
@@ -16,19 +16,13 @@
         unsigned status;
     };
     const Row rows[] = {
-        {RefusalReason::None, 200},
-        {RefusalReason::BadRequest, 400},
-        {RefusalReason::UnknownKey, 401},
-        {RefusalReason::UnknownRoute, 404},
-        {RefusalReason::RateExceeded, 429},
-        {RefusalReason::QueueFull, 503},
-        {RefusalReason::DeadlinePassed, 503},
-        {RefusalReason::NoPrimary, 503},
-        {RefusalReason::NotFreshEnough, 503},
-        {RefusalReason::WrongHalf, 421},
-        {RefusalReason::TransactionEnded, 409},
-        {RefusalReason::ShuttingDown, 503},
-        {RefusalReason::UpstreamFailed, 422},
+        {RefusalReason::None, 200},         {RefusalReason::BadRequest, 400},
+        {RefusalReason::NotReady, 503},     {RefusalReason::UnknownKey, 401},
+        {RefusalReason::UnknownRoute, 404}, {RefusalReason::RateExceeded, 429},
+        {RefusalReason::QueueFull, 503},    {RefusalReason::DeadlinePassed, 503},
+        {RefusalReason::NoPrimary, 503},    {RefusalReason::NotFreshEnough, 503},
+        {RefusalReason::WrongHalf, 421},    {RefusalReason::TransactionEnded, 409},
+        {RefusalReason::ShuttingDown, 503}, {RefusalReason::UpstreamFailed, 422},
         {RefusalReason::AnswerLost, 504},
     };
     for (const Row &row : rows) {
