Connections go to those who have least, and light teams pass heavy ones

Cause: returned connections went back to the node that had handed them back, and with parts of five units the same two of seven nodes were left without any. In the queue, a light team waited for a slot of its proxy that a heavy one filled; turns by deficit round robin were as long as the weights.

Change: asks tell the total that a node holds; an owner keeps free units for poorer askers and recalls one from a holder that has at least two more. The fair queue goes by virtual time instead of turns, and a team with nothing running may start a little beyond the limit in flight.

--- a/Libraries/Allotment/Codec.cpp
+++ b/Libraries/Allotment/Codec.cpp
@@ -48,6 +48,7 @@
         entryTo->set_ahead(entry.ahead);
         entryTo->set_demand(entry.demand);
         entryTo->set_held_epoch(entry.heldEpoch);
+        entryTo->set_total(entry.total);
     }
 }
 
@@ -113,11 +114,13 @@
     Ask ask{read(from.share()), from.ask_id(), {}};
     for (const Wire::AskEntry &entry : from.entries()) {
         const bool isValid = isAmount(entry.held()) && isAmount(entry.returned())
-            && isAmount(entry.urgent()) && isAmount(entry.ahead()) && isAmount(entry.demand());
+            && isAmount(entry.urgent()) && isAmount(entry.ahead()) && isAmount(entry.demand())
+            && isAmount(entry.total());
         if (!isValid)
             return malformed("an amount in an ask is out of range");
         ask.entries.push_back({ResourceName(entry.resource()), entry.held(), entry.returned(),
-                               entry.urgent(), entry.ahead(), entry.demand(), entry.held_epoch()});
+                               entry.urgent(), entry.ahead(), entry.demand(), entry.held_epoch(),
+                               entry.total()});
     }
     return Message(std::move(ask));
 }
--- a/Libraries/Allotment/Holder.cpp
+++ b/Libraries/Allotment/Holder.cpp
@@ -512,6 +512,7 @@
             stock.reported = stock.units;
             entry.held = stock.units;
             entry.heldEpoch = stock.epoch;
+            entry.total = heldOf(item, now);
             const bool isConsumable = item.limit.kind == ResourceKind::Consumable;
             entry.demand = isConsumable
                 ? std::llround(item.demand * static_cast<double>(milliPerUnit))
--- a/Libraries/Allotment/Ledger.cpp
+++ b/Libraries/Allotment/Ledger.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::int64_t millisecondsPerSecond = 1000;
+constexpr Core::Duration lackMemory{2'000};
 
 } // namespace
 
@@ -96,7 +97,6 @@
     account.lapses.erase({record->second.lapsesAt, holder});
     account.granted -= record->second.granted;
     account.demand -= record->second.demand;
-    account.unmet -= record->second.unmet;
     account.records.erase(record);
 }
 
@@ -147,9 +147,35 @@
     record.demand = entry.demand;
 }
 
-std::int64_t Ledger::grant(Account &account, Record &record, const AskEntry &entry) const
+Ledger::Lack Ledger::othersLack(Account &account, const HolderName &holder, Core::Instant now)
 {
-    const std::int64_t urgent = std::min(entry.urgent, account.level / microUnitsPerUnit);
+    std::erase_if(account.lacks, [now](const auto &lack) { return lack.second.until <= now; });
+    Lack sum;
+    for (const auto &[other, lack] : account.lacks) {
+        if (other == holder)
+            continue;
+        sum.total = sum.units == 0 ? lack.total : std::min(sum.total, lack.total);
+        sum.units += lack.units;
+    }
+    return sum;
+}
+
+std::int64_t Ledger::grant(Account &account, const HolderName &holder, const AskEntry &entry,
+                           Core::Instant now) const
+{
+    Record &record = account.records.at(holder);
+    std::int64_t urgent = std::min(entry.urgent, account.level / microUnitsPerUnit);
+    const bool isReturnable = account.limit.kind == ResourceKind::Returnable;
+    if (isReturnable) {
+        const Lack lack = othersLack(account, holder, now);
+        const std::int64_t fairRoom = fairPart(account, record) - record.granted;
+        // Whoever has less than the asker goes first; it asks again soon.
+        if (lack.units > 0)
+            urgent = lack.total < entry.total ? 0 : std::clamp<std::int64_t>(fairRoom, 0, urgent);
+        account.lacks.erase(holder);
+        if (entry.urgent > urgent)
+            account.lacks[holder] = {entry.urgent - urgent, entry.total, now + lackMemory};
+    }
     account.level -= urgent * microUnitsPerUnit;
     // Stock is given from the upper half only, and by demand, so that one holder's expectations
     // never take what another needs at once.
@@ -161,22 +187,25 @@
     account.level -= ahead * microUnitsPerUnit;
     const std::int64_t added = urgent + ahead;
     record.granted += added;
-    account.unmet += entry.urgent - urgent - record.unmet;
-    record.unmet = entry.urgent - urgent;
     account.granted += added;
     return added;
 }
 
-std::int64_t Ledger::recall(const Account &account, const Record &record)
+std::int64_t Ledger::fairPart(const Account &account, const Record &record)
 {
-    if (account.limit.kind == ResourceKind::Consumable)
-        return 0;
-    if (account.unmet == 0 || record.unmet > 0)
-        return 0;
     const std::int64_t wholeDemand = std::max<std::int64_t>(account.demand, 1);
-    const std::int64_t fair =
-        std::max<std::int64_t>(account.limit.capacity * record.demand / wholeDemand, 1);
-    return std::clamp<std::int64_t>(record.granted - fair, 0, account.unmet);
+    return std::max<std::int64_t>(account.limit.capacity * record.demand / wholeDemand, 1);
+}
+
+std::int64_t Ledger::recall(const Account &account, const Record &record, const Lack &lack,
+                            std::int64_t total)
+{
+    if (account.limit.kind == ResourceKind::Consumable || lack.units == 0)
+        return 0;
+    const std::int64_t excess = record.granted - fairPart(account, record);
+    const bool isPoorerHelped = lack.total + 1 < total;
+    const std::int64_t one = isPoorerHelped && record.granted > 0 ? 1 : 0;
+    return std::clamp<std::int64_t>(excess, one, std::max(lack.units, one));
 }
 
 Core::Duration Ledger::retryAfter(const Account &account) const
@@ -199,12 +228,13 @@
     Record &record = account.records[holder];
     acceptReport(account, record, entry);
     create(account, now);
-    const std::int64_t added = grant(account, record, entry);
+    const std::int64_t added = grant(account, holder, entry, now);
     setLapse(account, holder, now + options_.stretched(lifetimeOf(account)));
-    const std::int64_t recalled = recall(account, record);
+    const std::int64_t recalled =
+        recall(account, record, othersLack(account, holder, now), entry.total);
     const std::int64_t left = account.level / microUnitsPerUnit;
     const Core::Duration retry = left > 0 ? Core::Duration() : retryAfter(account);
-    const bool isEmpty = record.granted == 0 && record.unmet == 0 && record.demand == 0;
+    const bool isEmpty = record.granted == 0 && record.demand == 0;
     if (isEmpty)
         forget(account, holder);
     return GrantEntry{entry.resource, added, recalled, left, retry};
--- a/Libraries/Allotment/Ledger.h
+++ b/Libraries/Allotment/Ledger.h
@@ -54,7 +54,14 @@
         std::int64_t granted = 0;
         Core::Instant lapsesAt;
         std::int64_t demand = 0;
-        std::int64_t unmet = 0; ///< Units that were urgent and could not be granted.
+    };
+
+    /// A holder that could not be granted all that it lacked.
+    struct Lack
+    {
+        std::int64_t units = 0;
+        std::int64_t total = 0; ///< What it holds from all shares.
+        Core::Instant until;    ///< It has asked again by then, or found some elsewhere.
     };
 
     struct Account
@@ -69,7 +76,7 @@
         std::set<std::pair<Core::Instant, HolderName>> lapses; ///< The records by their lapse.
         std::int64_t granted = 0;                              ///< Sum over the records.
         std::int64_t demand = 0;                               ///< Sum over the records.
-        std::int64_t unmet = 0;                                ///< Sum over the records.
+        std::map<HolderName, Lack> lacks;                      ///< Of returnable units only.
     };
 
     [[nodiscard]] Core::Duration lifetimeOf(const Account &account) const;
@@ -80,8 +87,14 @@
     static void setLapse(Account &account, const HolderName &holder, Core::Instant lapsesAt);
     GrantEntry answerEntry(const HolderName &holder, const AskEntry &entry, Core::Instant now);
     void acceptReport(Account &account, Record &record, const AskEntry &entry);
-    std::int64_t grant(Account &account, Record &record, const AskEntry &entry) const;
-    static std::int64_t recall(const Account &account, const Record &record);
+    std::int64_t grant(Account &account, const HolderName &holder, const AskEntry &entry,
+                       Core::Instant now) const;
+    /// What the others lack together, and the total of the poorest of them.
+    static Lack othersLack(Account &account, const HolderName &holder, Core::Instant now);
+    /// How much a holder may have of a returnable resource while others lack some.
+    static std::int64_t fairPart(const Account &account, const Record &record);
+    static std::int64_t recall(const Account &account, const Record &record, const Lack &lack,
+                               std::int64_t total);
     Core::Duration retryAfter(const Account &account) const;
     MicroUnits room(const Account &account) const;
 
--- a/Libraries/Allotment/Messages.h
+++ b/Libraries/Allotment/Messages.h
@@ -42,6 +42,7 @@
     std::int64_t ahead = 0;    ///< Units for the demand expected next.
     std::int64_t demand = 0;   ///< Thousandths of a unit per second, or wanted connections.
     Epoch heldEpoch = 0;       ///< The owner's epoch under which `held` was granted.
+    std::int64_t total = 0;    ///< Units held from all shares together.
 };
 
 /// From a holder to a share's owner. It voids all answers to the holder's earlier asks.
--- a/Libraries/Queue/ConcurrencyLimit.h
+++ b/Libraries/Queue/ConcurrencyLimit.h
@@ -11,6 +11,7 @@
     std::uint32_t least = 1;
     std::uint32_t most = 30; ///< Never above the connections of one database.
     std::uint32_t initial = 2;
+    std::uint32_t extra = 2; ///< How many may be in flight beyond the limit for idle teams.
     /// Waiting inside the database above this is taken as too many in flight.
     Core::Duration targetQueued{1};
     /// The limit is lowered at most once in this span, since answers lag behind the change.
@@ -29,6 +30,9 @@
     explicit ConcurrencyLimit(ConcurrencyLimitOptions options = {});
 
     [[nodiscard]] bool canStart() const { return inFlight_ < limit(); }
+    /// Whether a request of a team of which nothing is running may start beyond the limit. The few
+    /// more in flight wait less in the database than behind another team's here.
+    [[nodiscard]] bool canStartExtra() const { return inFlight_ < limit() + options_.extra; }
     void started();
 
     /// Notes a statement's answer. \a queuedMicroseconds is Upstream::Answer's, \a queuedNow is
--- a/Libraries/Queue/FairQueue.cpp
+++ b/Libraries/Queue/FairQueue.cpp
@@ -3,6 +3,7 @@
 #include <Core/Verify.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Chervilpin::Queue {
@@ -33,11 +34,8 @@
         return {EnqueueVerdict::QueueFull, wait};
     if (options_.refusesUnmeetable && now + wait > ticket.latestStart)
         return {EnqueueVerdict::Unmeetable, wait};
-    if (!queue.isInRound) {
-        queue.isInRound = true;
-        queue.deficit = 0;
-        round_.push_back(ticket.team);
-    }
+    if (queue.waiting.empty())
+        queue.virtualTime = std::max(queue.virtualTime, virtualNow_);
     queue.waiting.push_back({std::move(ticket), nextArrival_++});
     ++size_;
     return {};
@@ -45,53 +43,65 @@
 
 std::optional<Ticket> FairQueue::takeNext(Core::Instant now)
 {
-    while (size_ > 0) {
-        std::optional<Ticket> next =
-            options_.order == Order::FirstInFirstOut ? takeOldest() : takeByRoundRobin();
-        if (!next.has_value() || next->latestStart >= now)
-            return next;
-        expired_.push_back(std::move(*next));
-    }
-    return std::nullopt;
+    return take(Eligible::AllTeams, now);
+}
+
+std::optional<Ticket> FairQueue::takeNextOfIdleTeam(Core::Instant now)
+{
+    return take(Eligible::IdleTeams, now);
 }
 
-std::optional<Ticket> FairQueue::takeByRoundRobin()
+void FairQueue::finished(const Core::TeamName &team)
 {
-    // NOTE: All requests cost one, since a slot's time can't be known beforehand. A turn gives a
-    // team its weight in requests.
-    while (!round_.empty()) {
-        TeamQueue &queue = teams_[round_.front()];
-        if (queue.waiting.empty()) {
-            queue.isInRound = false;
-            round_.pop_front();
+    TeamQueue &queue = teams_[team];
+    VERIFY(queue.running > 0);
+    --queue.running;
+}
+
+std::optional<Ticket> FairQueue::take(Eligible eligible, Core::Instant now)
+{
+    while (true) {
+        TeamQueue *queue = options_.order == Order::FirstInFirstOut ? withOldest(eligible)
+                                                                    : furthestBehind(eligible);
+        if (queue == nullptr)
+            return std::nullopt;
+        Ticket next = popFront(*queue);
+        if (next.latestStart < now) {
+            expired_.push_back(std::move(next));
             continue;
         }
-        if (queue.deficit == 0)
-            queue.deficit = queue.weight;
-        --queue.deficit;
-        Ticket next = popFront(queue);
-        if (queue.deficit == 0 || queue.waiting.empty()) {
-            queue.deficit = 0;
-            round_.push_back(round_.front());
-            round_.pop_front();
-        }
+        // NOTE: All requests cost one, since a slot's time can't be known beforehand.
+        virtualNow_ = std::max(virtualNow_, queue->virtualTime);
+        queue->virtualTime += 1.0 / queue->weight;
+        ++queue->running;
         return next;
     }
-    return std::nullopt;
 }
 
-std::optional<Ticket> FairQueue::takeOldest()
+FairQueue::TeamQueue *FairQueue::furthestBehind(Eligible eligible)
+{
+    TeamQueue *next = nullptr;
+    for (auto &[team, queue] : teams_) {
+        const bool isExcluded = eligible == Eligible::IdleTeams && queue.running > 0;
+        if (queue.waiting.empty() || isExcluded)
+            continue;
+        if (next == nullptr || queue.virtualTime < next->virtualTime)
+            next = &queue;
+    }
+    return next;
+}
+
+FairQueue::TeamQueue *FairQueue::withOldest(Eligible eligible)
 {
     TeamQueue *oldest = nullptr;
     for (auto &[team, queue] : teams_) {
-        if (queue.waiting.empty())
+        const bool isExcluded = eligible == Eligible::IdleTeams && queue.running > 0;
+        if (queue.waiting.empty() || isExcluded)
             continue;
         if (oldest == nullptr || queue.waiting.front().arrival < oldest->waiting.front().arrival)
             oldest = &queue;
     }
-    if (oldest == nullptr)
-        return std::nullopt;
-    return popFront(*oldest);
+    return oldest;
 }
 
 Ticket FairQueue::popFront(TeamQueue &queue)
@@ -163,15 +173,19 @@
     if (options_.order == Order::FirstInFirstOut)
         return size_;
     const auto own = teams_.find(team);
-    const std::uint64_t ownWaiting = own == teams_.end() ? 0 : own->second.waiting.size();
-    const std::uint64_t ownWeight = own == teams_.end() ? 1 : own->second.weight;
-    // The request starts in this many turns from now, and each other team takes at most its weight
-    // in each of them.
-    const std::uint64_t turns = ownWaiting / ownWeight + 1;
-    std::uint64_t ahead = ownWaiting;
-    for (const auto &[other, queue] : teams_) {
-        if (other != team)
-            ahead += std::min<std::uint64_t>(queue.waiting.size(), turns * queue.weight);
+    if (own == teams_.end())
+        return std::min<std::uint64_t>(size_, teams_.size());
+    // The request starts at this virtual time, and each other team's requests before it go first.
+    const TeamQueue &queue = own->second;
+    const double base =
+        queue.waiting.empty() ? std::max(queue.virtualTime, virtualNow_) : queue.virtualTime;
+    const double startsAt = base + static_cast<double>(queue.waiting.size()) / queue.weight;
+    std::uint64_t ahead = queue.waiting.size();
+    for (const auto &[other, theirs] : teams_) {
+        if (other == team || theirs.waiting.empty())
+            continue;
+        const double turns = std::max((startsAt - theirs.virtualTime) * theirs.weight, 0.0);
+        ahead += std::min<std::uint64_t>(theirs.waiting.size(), std::llround(turns) + 1);
     }
     return ahead;
 }
--- a/Libraries/Queue/FairQueue.h
+++ b/Libraries/Queue/FairQueue.h
@@ -25,13 +25,13 @@
 };
 
 enum class Order {
-    DeficitRoundRobin,
+    WeightedFair,
     FirstInFirstOut, ///< The baseline of the bench; it has no isolation between teams.
 };
 
 struct FairQueueOptions
 {
-    Order order = Order::DeficitRoundRobin;
+    Order order = Order::WeightedFair;
     /// Switched off only by tests, which show that late requests then wait for nothing.
     bool refusesUnmeetable = true;
     /// Bounds the memory of one team.
@@ -53,11 +53,13 @@
     Core::Duration retryAfter;
 };
 
-/// Weighted deficit round robin over teams for the slots of one database or group.
+/// Weighted fair queueing over teams for the slots of one database or group.
 ///
-/// It is work-conserving: whenever anything waits, takeNext() gives a request. A team's backlog
-/// delays only that team. Nothing leaves silently: a request leaves by takeNext(), by one of the
-/// cancel functions, or by takeExpired(), and each returns it.
+/// Each request advances its team's virtual time by one over the team's weight, and the team that
+/// is furthest behind goes next; a team that was idle joins at the present virtual time, so it
+/// neither saves up turns nor waits for others' backlogs. It is work-conserving: whenever anything
+/// waits, takeNext() gives a request. Nothing leaves silently: a request leaves by takeNext(), by
+/// one of the cancel functions, or by takeExpired(), and each returns it.
 class FairQueue
 {
 public:
@@ -72,6 +74,14 @@
     /// The next request to start, passing over none that is still in time.
     [[nodiscard]] std::optional<Ticket> takeNext(Core::Instant now);
 
+    /// As takeNext(), but only for teams of which nothing is running. With it a team within its
+    /// share needn't wait for a slot of this proxy that others have filled; see
+    /// ConcurrencyLimit::canStartExtra().
+    [[nodiscard]] std::optional<Ticket> takeNextOfIdleTeam(Core::Instant now);
+
+    /// Notes that a request given by one of the take functions has ended.
+    void finished(const Core::TeamName &team);
+
     /// Requests whose latest start has passed; each is to be refused as "not run".
     [[nodiscard]] std::vector<Ticket> takeExpired(Core::Instant now);
 
@@ -101,21 +111,27 @@
     struct TeamQueue
     {
         std::uint32_t weight = 1;
-        std::uint32_t deficit = 0; ///< Requests it may still start in its present turn.
-        bool isInRound = false;
+        double virtualTime = 0; ///< Advances by 1 / weight with each request that is started.
         std::deque<Waiting> waiting;
+        std::uint32_t running = 0;
+    };
+
+    enum class Eligible {
+        AllTeams,
+        IdleTeams,
     };
 
     template<typename Predicate>
     std::vector<Ticket> removeIf(Predicate predicate);
-    std::optional<Ticket> takeByRoundRobin();
-    std::optional<Ticket> takeOldest();
+    std::optional<Ticket> take(Eligible eligible, Core::Instant now);
+    TeamQueue *furthestBehind(Eligible eligible);
+    TeamQueue *withOldest(Eligible eligible);
     Ticket popFront(TeamQueue &queue);
     std::uint64_t requestsAhead(const Core::TeamName &team) const;
 
     FairQueueOptions options_;
     std::map<Core::TeamName, TeamQueue> teams_;
-    std::deque<Core::TeamName> round_; ///< Teams with waiting requests; the front has the turn.
+    double virtualNow_ = 0; ///< The virtual time at which the last request was started.
     std::size_t size_ = 0;
     std::uint64_t nextArrival_ = 0;
     std::int64_t serviceTimeMicroseconds_;
--- a/Tests/Queue/TestConcurrencyLimit.cpp
+++ b/Tests/Queue/TestConcurrencyLimit.cpp
@@ -96,6 +96,20 @@
     LONGS_EQUAL(1, limit.limit());
 }
 
+TEST(ConcurrencyLimit, LeavesAFewMoreForIdleTeams)
+{
+    ConcurrencyLimitOptions options;
+    options.initial = 2;
+    options.extra = 1;
+    ConcurrencyLimit limit(options);
+    limit.started();
+    limit.started();
+    CHECK(!limit.canStart());
+    CHECK(limit.canStartExtra());
+    limit.started();
+    CHECK(!limit.canStartExtra());
+}
+
 TEST(ConcurrencyLimit, DoesNotGrowWhileItIsNotUsed)
 {
     ConcurrencyLimit limit;
--- a/Tests/Queue/TestFairQueue.cpp
+++ b/Tests/Queue/TestFairQueue.cpp
@@ -38,8 +38,8 @@
         std::uint32_t weight;
         std::size_t smallOfFirstTen;
     } cases[] = {
-        {"equal weights", Order::DeficitRoundRobin, 1, 5},
-        {"weight 4", Order::DeficitRoundRobin, 4, 8},
+        {"equal weights", Order::WeightedFair, 1, 5},
+        {"weight 4", Order::WeightedFair, 4, 8},
         {"first in, first out", Order::FirstInFirstOut, 1, 0},
     };
     for (const auto &one : cases) {
@@ -156,3 +156,29 @@
     LONGS_EQUAL(1, expired.size());
     LONGS_EQUAL(1, expired.front().id);
 }
+
+TEST(FairQueue, ATeamWithNothingRunningMayPassOthersThatFillTheProxy)
+{
+    FairQueue queue;
+    fill(queue, large, 1, 5);
+    LONGS_EQUAL(1, queue.takeNext(start)->id);
+    CHECK(!queue.takeNextOfIdleTeam(start).has_value());
+    fill(queue, small, 11, 2);
+    LONGS_EQUAL(11, queue.takeNextOfIdleTeam(start)->id);
+    CHECK(!queue.takeNextOfIdleTeam(start).has_value());
+    queue.finished(large);
+    LONGS_EQUAL(2, queue.takeNextOfIdleTeam(start)->id);
+}
+
+TEST(FairQueue, AnIdleTeamSavesUpNoTurns)
+{
+    FairQueue queue;
+    fill(queue, large, 1, 100);
+    for (int i = 0; i < 50; ++i)
+        (void)queue.takeNext(start);
+    fill(queue, small, 1000, 50);
+    std::size_t smalls = 0;
+    for (int i = 0; i < 10; ++i)
+        smalls += queue.takeNext(start)->team == small ? 1 : 0;
+    LONGS_EQUAL(5, smalls);
+}
--- a/Utilities/chervilpin-bench-limits/main.cpp
+++ b/Utilities/chervilpin-bench-limits/main.cpp
@@ -52,7 +52,8 @@
                   << prefix << "median_team_p99_ms=" << result.medianTeamP99 << '\n'
                   << prefix << "slot_use=" << result.slotUse << '\n';
     };
-    print("", report.fair);
+    print("", report.limited);
+    print("unlimited_", report.unlimited);
     print("baseline_fifo_", report.fifo);
 }
 
@@ -97,6 +98,7 @@
     fair->add_option("--proxies", fairness.proxies, "Number of proxies that share it");
     fair->add_option("--load", fairness.load, "All teams' rates relative to the slots' capacity");
     fair->add_option("--aggressor", fairness.aggressorFactor, "One team's demand over its rate");
+    fair->add_option("--burst-seconds", fairness.burstSeconds, "A team's burst over its rate");
     fair->callback([&fairness] { runFairness(fairness); });
 
     CLI::App *cost = app.add_subcommand("cost", "Time and memory of one node's decisions.");
