A resource that is dropped and added again isn't granted twice

Cause: an owner forgot what it had granted of a resource that left the configuration; added again within the lifetime of the grants, the resource began with its whole capacity. Each tick also looked through all holders for those to forget, which costs an owner with many holders more than its answers do.

Change: an owner remembers until when the grants of a dropped resource may be out, and counts its capacity as inherited until then. Holders are looked through every ten seconds.

--- a/Libraries/Allotment/Ledger.cpp
+++ b/Libraries/Allotment/Ledger.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::int64_t millisecondsPerSecond = 1000;
-constexpr Core::Duration lackMemory{500}; ///< Longer than askers take to ask again.
+constexpr Core::Duration holderMemory{10'000}; ///< Holders without grants are looked for so often.
+constexpr Core::Duration lackMemory{500};      ///< Longer than askers take to ask again.
 
 } // namespace
 
@@ -49,22 +50,36 @@
             next.emplace(limit.name, std::move(account));
             continue;
         }
-        Account account;
-        account.limit = limit;
-        account.createdAt = now;
-        const Core::Instant lapse = since_ + options_.stretched(lifetimeOf(account));
-        const bool mayBeOut = start_ == LedgerStart::Successor && options_.guards.successorWaits;
-        if (mayBeOut && now < lapse) {
-            account.inherited = limit.capacity;
-            account.inheritedUntil = lapse;
-        } else {
-            account.level = limit.capacity * microUnitsPerUnit;
-        }
-        next.emplace(limit.name, std::move(account));
+        next.emplace(limit.name, openAccount(limit, now));
+    }
+    for (const auto &[name, account] : accounts_) {
+        if (!next.contains(name))
+            droppedUntil_[name] = now + options_.stretched(lifetimeOf(account));
     }
+    std::erase_if(droppedUntil_, [now](const auto &dropped) { return dropped.second <= now; });
     accounts_ = std::move(next);
 }
 
+Ledger::Account Ledger::openAccount(const ResourceLimit &limit, Core::Instant now) const
+{
+    Account account;
+    account.limit = limit;
+    account.createdAt = now;
+    Core::Instant lapse = now;
+    if (start_ == LedgerStart::Successor && options_.guards.successorWaits)
+        lapse = since_ + options_.stretched(lifetimeOf(account));
+    const auto dropped = droppedUntil_.find(limit.name);
+    if (dropped != droppedUntil_.end())
+        lapse = std::max(lapse, dropped->second);
+    if (now < lapse) {
+        account.inherited = limit.capacity;
+        account.inheritedUntil = lapse;
+    } else {
+        account.level = limit.capacity * microUnitsPerUnit;
+    }
+    return account;
+}
+
 void Ledger::create(Account &account, Core::Instant now) const
 {
     if (account.limit.kind == ResourceKind::Returnable) {
@@ -244,6 +259,9 @@
 {
     for (auto &[name, account] : accounts_)
         settle(account, now);
+    if (now < forgetHoldersAt_)
+        return;
+    forgetHoldersAt_ = now + holderMemory;
     std::erase_if(latestAsk_, [this](const auto &entry) {
         return std::ranges::none_of(accounts_, [&entry](const auto &account) {
             return account.second.records.contains(entry.first);
--- a/Libraries/Allotment/Ledger.h
+++ b/Libraries/Allotment/Ledger.h
@@ -80,6 +80,7 @@
     };
 
     [[nodiscard]] Core::Duration lifetimeOf(const Account &account) const;
+    [[nodiscard]] Account openAccount(const ResourceLimit &limit, Core::Instant now) const;
     void settle(Account &account, Core::Instant now) const;
     void create(Account &account, Core::Instant now) const;
     static void endInheritance(Account &account);
@@ -103,7 +104,10 @@
     LedgerStart start_;
     Core::Instant since_;
     std::map<ResourceName, Account> accounts_;
+    /// When all grants of a resource that was dropped have lapsed; it may be added again before.
+    std::map<ResourceName, Core::Instant> droppedUntil_;
     std::map<HolderName, std::uint64_t> latestAsk_;
+    Core::Instant forgetHoldersAt_;
 };
 
 } // namespace Chervilpin::Allotment
--- a/Tests/Allotment/TestParts.cpp
+++ b/Tests/Allotment/TestParts.cpp
@@ -130,6 +130,16 @@
     LONGS_EQUAL(2, fixture.added(alice, askFor(2, 0, 0, 5), lapse + 2_ms));
 }
 
+TEST(Ledger, AResourceThatIsDroppedAndAddedAgainIsNotGrantedTwice)
+{
+    const ResourceLimit limit = tokens(0, 10);
+    LedgerFixture fixture(LedgerStart::FirstOwner, limit);
+    LONGS_EQUAL(10, fixture.added(alice, askFor(1, 0, 0, 10), start));
+    fixture.ledger.setLimits({}, start + 1_ms);
+    fixture.ledger.setLimits({&limit, 1}, start + 2_ms);
+    LONGS_EQUAL(0, fixture.added(bob, askFor(1, 0, 0, 10), start + 3_ms));
+}
+
 TEST(Ledger, ASuccessorAdoptsConnectionsThatAreHeld)
 {
     const auto limit = ResourceLimit::connections(Core::DatabaseName("d"), 30);
