--- a/Libraries/Allotment/Codec.cpp
+++ b/Libraries/Allotment/Codec.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int mostEntries = 4096;
-constexpr std::int64_t largestAmount = 1'000'000'000'000;
+constexpr std::int64_t largestAmount = 1'000'000'000'000'000;
 
 Core::ErrorOr<Message> malformed(const char *why)
 {
@@ -51,6 +51,7 @@
         entryTo->set_ahead(entry.ahead);
         entryTo->set_demand(entry.demand);
         entryTo->set_held_epoch(entry.heldEpoch);
+        entryTo->set_total(entry.total);
     }
 }
 
@@ -66,7 +67,6 @@
         entryTo->set_added(entry.added);
         entryTo->set_recalled(entry.recalled);
         entryTo->set_level(entry.level);
-        entryTo->set_retry_after_ms(entry.retryAfter.milliseconds());
     }
 }
 
@@ -116,11 +116,13 @@
     Ask ask{read(from.share()), from.ask_id(), {}};
     for (const Wire::AskEntry &entry : from.entries()) {
         const bool isValid = isAmount(entry.held()) && isAmount(entry.returned())
-            && isAmount(entry.urgent()) && isAmount(entry.ahead()) && isAmount(entry.demand());
+            && isAmount(entry.urgent()) && isAmount(entry.ahead()) && isAmount(entry.demand())
+            && isAmount(entry.total());
         if (!isValid)
             return malformed("an amount in an ask is out of range");
         ask.entries.push_back({ResourceName(entry.resource()), entry.held(), entry.returned(),
-                               entry.urgent(), entry.ahead(), entry.demand(), entry.held_epoch()});
+                               entry.urgent(), entry.ahead(), entry.demand(), entry.held_epoch(),
+                               entry.total()});
     }
     return Message(std::move(ask));
 }
@@ -131,12 +133,12 @@
         return malformed("too many entries in a grant");
     Grant grant{read(from.share()), from.ask_id(), from.epoch(), {}};
     for (const Wire::GrantEntry &entry : from.entries()) {
-        const bool isValid = isAmount(entry.added()) && isAmount(entry.recalled())
-            && isAmount(entry.level()) && isAmount(entry.retry_after_ms());
+        const bool isValid =
+            isAmount(entry.added()) && isAmount(entry.recalled()) && isAmount(entry.level());
         if (!isValid)
             return malformed("an amount in a grant is out of range");
-        grant.entries.push_back({ResourceName(entry.resource()), entry.added(), entry.recalled(),
-                                 entry.level(), Core::Duration(entry.retry_after_ms())});
+        grant.entries.push_back(
+            {ResourceName(entry.resource()), entry.added(), entry.recalled(), entry.level()});
     }
     return Message(std::move(grant));
 }
--- a/Libraries/Allotment/Ledger.cpp
+++ b/Libraries/Allotment/Ledger.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::int64_t millisecondsPerSecond = 1000;
+constexpr Core::Duration holderMemory{10'000}; ///< Holders without grants are looked for so often.
+constexpr Core::Duration lackMemory{500};      ///< Longer than askers take to ask again.
 
 } // namespace
 
@@ -48,22 +50,36 @@
             next.emplace(limit.name, std::move(account));
             continue;
         }
-        Account account;
-        account.limit = limit;
-        account.createdAt = now;
-        const Core::Instant lapse = since_ + options_.stretched(lifetimeOf(account));
-        const bool mayBeOut = start_ == LedgerStart::Successor && options_.guards.successorWaits;
-        if (mayBeOut && now < lapse) {
-            account.inherited = limit.capacity;
-            account.inheritedUntil = lapse;
-        } else {
-            account.level = limit.capacity * microUnitsPerUnit;
-        }
-        next.emplace(limit.name, std::move(account));
+        next.emplace(limit.name, openAccount(limit, now));
+    }
+    for (const auto &[name, account] : accounts_) {
+        if (!next.contains(name))
+            droppedUntil_[name] = now + options_.stretched(lifetimeOf(account));
     }
+    std::erase_if(droppedUntil_, [now](const auto &dropped) { return dropped.second <= now; });
     accounts_ = std::move(next);
 }
 
+Ledger::Account Ledger::openAccount(const ResourceLimit &limit, Core::Instant now) const
+{
+    Account account;
+    account.limit = limit;
+    account.createdAt = now;
+    Core::Instant lapse = now;
+    if (start_ == LedgerStart::Successor && options_.guards.successorWaits)
+        lapse = since_ + options_.stretched(lifetimeOf(account));
+    const auto dropped = droppedUntil_.find(limit.name);
+    if (dropped != droppedUntil_.end())
+        lapse = std::max(lapse, dropped->second);
+    if (now < lapse) {
+        account.inherited = limit.capacity;
+        account.inheritedUntil = lapse;
+    } else {
+        account.level = limit.capacity * microUnitsPerUnit;
+    }
+    return account;
+}
+
 void Ledger::create(Account &account, Core::Instant now) const
 {
     if (account.limit.kind == ResourceKind::Returnable) {
@@ -96,7 +112,6 @@
     account.lapses.erase({record->second.lapsesAt, holder});
     account.granted -= record->second.granted;
     account.demand -= record->second.demand;
-    account.unmet -= record->second.unmet;
     account.records.erase(record);
 }
 
@@ -147,9 +162,35 @@
     record.demand = entry.demand;
 }
 
-std::int64_t Ledger::grant(Account &account, Record &record, const AskEntry &entry) const
+Ledger::Lack Ledger::othersLack(Account &account, const HolderName &holder, Core::Instant now)
+{
+    std::erase_if(account.lacks, [now](const auto &lack) { return lack.second.until <= now; });
+    Lack sum;
+    for (const auto &[other, lack] : account.lacks) {
+        if (other == holder)
+            continue;
+        sum.total = sum.units == 0 ? lack.total : std::min(sum.total, lack.total);
+        sum.units += lack.units;
+    }
+    return sum;
+}
+
+std::int64_t Ledger::grant(Account &account, const HolderName &holder, const AskEntry &entry,
+                           Core::Instant now) const
 {
-    const std::int64_t urgent = std::min(entry.urgent, account.level / microUnitsPerUnit);
+    Record &record = account.records.at(holder);
+    std::int64_t urgent = std::min(entry.urgent, account.level / microUnitsPerUnit);
+    const bool isReturnable = account.limit.kind == ResourceKind::Returnable;
+    if (isReturnable) {
+        const Lack lack = othersLack(account, holder, now);
+        const std::int64_t fairRoom = fairPart(account, record) - record.granted;
+        // Whoever has less than the asker goes first; it asks again soon.
+        if (lack.units > 0)
+            urgent = lack.total < entry.total ? 0 : std::clamp<std::int64_t>(fairRoom, 0, urgent);
+        account.lacks.erase(holder);
+        if (entry.urgent > urgent)
+            account.lacks[holder] = {entry.urgent - urgent, entry.total, now + lackMemory};
+    }
     account.level -= urgent * microUnitsPerUnit;
     // Stock is given from the upper half only, and by demand, so that one holder's expectations
     // never take what another needs at once.
@@ -161,53 +202,45 @@
     account.level -= ahead * microUnitsPerUnit;
     const std::int64_t added = urgent + ahead;
     record.granted += added;
-    account.unmet += entry.urgent - urgent - record.unmet;
-    record.unmet = entry.urgent - urgent;
     account.granted += added;
     return added;
 }
 
-std::int64_t Ledger::recall(const Account &account, const Record &record)
+std::int64_t Ledger::fairPart(const Account &account, const Record &record)
 {
-    if (account.limit.kind == ResourceKind::Consumable)
-        return 0;
-    if (account.unmet == 0 || record.unmet > 0)
-        return 0;
     const std::int64_t wholeDemand = std::max<std::int64_t>(account.demand, 1);
-    const std::int64_t fair =
-        std::max<std::int64_t>(account.limit.capacity * record.demand / wholeDemand, 1);
-    return std::clamp<std::int64_t>(record.granted - fair, 0, account.unmet);
+    return std::max<std::int64_t>(account.limit.capacity * record.demand / wholeDemand, 1);
 }
 
-Core::Duration Ledger::retryAfter(const Account &account) const
+std::int64_t Ledger::recall(const Account &account, const Record &record, const Lack &lack,
+                            std::int64_t total)
 {
-    if (account.limit.kind == ResourceKind::Returnable)
-        return options_.reportInterval;
-    const std::int64_t perMillisecond =
-        std::max<std::int64_t>(account.limit.ratePerSecond / millisecondsPerSecond, 1);
-    const MicroUnits missing = std::max<MicroUnits>(microUnitsPerUnit - account.level, 0);
-    return Core::Duration(missing / perMillisecond + 1);
+    if (account.limit.kind == ResourceKind::Consumable || lack.units == 0)
+        return 0;
+    const std::int64_t excess = record.granted - fairPart(account, record);
+    const bool isPoorerHelped = lack.total + 1 < total;
+    const std::int64_t one = isPoorerHelped && record.granted > 0 ? 1 : 0;
+    return std::clamp<std::int64_t>(excess, one, std::max(lack.units, one));
 }
 
 GrantEntry Ledger::answerEntry(const HolderName &holder, const AskEntry &entry, Core::Instant now)
 {
     const auto found = accounts_.find(entry.resource);
     if (found == accounts_.end())
-        return GrantEntry{entry.resource, 0, 0, 0, options_.tokenLifetime};
+        return GrantEntry{entry.resource, 0, 0, 0};
     Account &account = found->second;
     settle(account, now);
     Record &record = account.records[holder];
     acceptReport(account, record, entry);
     create(account, now);
-    const std::int64_t added = grant(account, record, entry);
+    const std::int64_t added = grant(account, holder, entry, now);
     setLapse(account, holder, now + options_.stretched(lifetimeOf(account)));
-    const std::int64_t recalled = recall(account, record);
-    const std::int64_t left = account.level / microUnitsPerUnit;
-    const Core::Duration retry = left > 0 ? Core::Duration() : retryAfter(account);
-    const bool isEmpty = record.granted == 0 && record.unmet == 0 && record.demand == 0;
+    const std::int64_t recalled =
+        recall(account, record, othersLack(account, holder, now), entry.total);
+    const bool isEmpty = record.granted == 0 && record.demand == 0;
     if (isEmpty)
         forget(account, holder);
-    return GrantEntry{entry.resource, added, recalled, left, retry};
+    return GrantEntry{entry.resource, added, recalled, account.level};
 }
 
 std::optional<Grant> Ledger::answer(const HolderName &holder, const Ask &ask, Core::Instant now)
@@ -226,6 +259,9 @@
 {
     for (auto &[name, account] : accounts_)
         settle(account, now);
+    if (now < forgetHoldersAt_)
+        return;
+    forgetHoldersAt_ = now + holderMemory;
     std::erase_if(latestAsk_, [this](const auto &entry) {
         return std::ranges::none_of(accounts_, [&entry](const auto &account) {
             return account.second.records.contains(entry.first);
--- a/Libraries/Allotment/Messages.h
+++ b/Libraries/Allotment/Messages.h
@@ -42,6 +42,7 @@
     std::int64_t ahead = 0;    ///< Units for the demand expected next.
     std::int64_t demand = 0;   ///< Thousandths of a unit per second, or wanted connections.
     Epoch heldEpoch = 0;       ///< The owner's epoch under which `held` was granted.
+    std::int64_t total = 0;    ///< Units held from all shares together.
 };
 
 /// From a holder to a share's owner. It voids all answers to the holder's earlier asks.
@@ -57,8 +58,7 @@
     ResourceName resource;
     std::int64_t added = 0;
     std::int64_t recalled = 0; ///< Units that the holder is to hand back when it can.
-    std::int64_t level = 0;    ///< Whole units left with the owner.
-    Core::Duration retryAfter; ///< When one unit is expected to be there, if level is 0.
+    MicroUnits level = 0;      ///< What is left with the owner.
 };
 
 /// The owner's answer to one ask.
