--- a/Libraries/Engine/Request.h
+++ b/Libraries/Engine/Request.h
@@ -57,6 +57,7 @@
     std::vector<Core::DatabaseName> excluded; ///< Databases that failed it.
     std::optional<Route::SendTo> target;      ///< Where it waits for a connection.
     Core::Instant retryAt;
+    bool isTakenFromQueue = false; ///< The queue is to be told of its end.
     bool isHedged = false;
     std::optional<Core::Instant> cutAt;   ///< Its key was withdrawn; it may finish until then.
     std::string beginName;                ///< Begin: the name of the new transaction.
@@ -75,4 +76,7 @@
     [[nodiscard]] bool isWriteLike() const { return !isRead(); }
 };
 
+/// The team that a request queues for; requests of routes open to all queue as one team.
+[[nodiscard]] Core::TeamName ticketTeam(const Request &);
+
 } // namespace Chervilpin::Engine
--- a/Libraries/Engine/RequestPipeline.cpp
+++ b/Libraries/Engine/RequestPipeline.cpp
@@ -22,13 +22,11 @@
 /// A request that waits this long for a connection of one database is routed again.
 constexpr Core::Duration longestBorrow = 100_ms;
 
-const Core::TeamName openTeam("(open)");
-
 Queue::Ticket ticketFor(const Request &request)
 {
     Queue::Ticket ticket;
     ticket.id = request.caller.id;
-    ticket.team = request.team.isEmpty() ? openTeam : request.team;
+    ticket.team = ticketTeam(request);
     ticket.keyId = request.keyId.value();
     ticket.latestStart = request.deadline;
     return ticket;
@@ -44,27 +42,6 @@
 
 } // namespace
 
-const char *toString(Stage stage)
-{
-    switch (stage) {
-    case Stage::Admit:
-        return "admit";
-    case Stage::Queue:
-        return "queue";
-    case Stage::Route:
-        return "route";
-    case Stage::Borrow:
-        return "borrow";
-    case Stage::Execute:
-        return "execute";
-    case Stage::Confirm:
-        return "confirm";
-    case Stage::Retry:
-        return "retry";
-    }
-    return "admit";
-}
-
 RequestPipeline::RequestPipeline(Node &node, ControlPlane &control)
     : node_(node)
     , control_(control)
@@ -271,15 +248,19 @@
         const auto ticket = group.reads.takeNext(now);
         if (!ticket)
             break;
-        if (Request *request = find(ticket->id))
+        if (Request *request = find(ticket->id)) {
+            request->isTakenFromQueue = true;
             route(*request, now);
+        }
     }
     while (!group.isDraining(now) && group.roomForWrites() > 0) {
         const auto ticket = group.writes.takeNext(now);
         if (!ticket)
             break;
-        if (Request *request = find(ticket->id))
+        if (Request *request = find(ticket->id)) {
+            request->isTakenFromQueue = true;
             route(*request, now);
+        }
     }
 }
 
--- a/Libraries/Engine/RequestPipelineFinish.cpp
+++ b/Libraries/Engine/RequestPipelineFinish.cpp
@@ -201,6 +201,8 @@
                                 std::string(Core::toString(answer.outcome))});
         node_.outbox.push(RecordTrace{request.trace.traceId, std::move(request.hops)});
     }
+    if (request.isTakenFromQueue)
+        groupOf(request).queue(request.caller.kind).finished(ticketTeam(request));
     const std::string transactionName = request.caller.transaction;
     wakeups_.erase({request.deadline, id});
     requests_.erase(id);
