--- a/Meta/run.sh
+++ b/Meta/run.sh
@@ -34,8 +34,13 @@
 [ -n "$key" ] && [ -n "$brokerKey" ] && [ -n "$partnerKey" ]
 
 # The first owners of shares need a moment to be elected.
-ask() { rig_call 1 "$key" '{"route":"r1","kind":"write","statement":"put warm 1"}' | grep -q '"outcome":"done"'; }
-rig_wait_for "the first write" 15 ask
+isServing() {
+    local node
+    for node in 1 2 3 1 2 3 1 2 3; do
+        rig_call "$node" "$key" '{"route":"r1","kind":"write","statement":"put warm 1"}' | grep -q '"outcome":"done"' || return 1
+    done
+}
+rig_wait_for "every proxy to serve" 30 isServing
 step configuration done done "configured_to_serving_ms=$(($(rig_milliseconds) - started))"
 
 answer="$(rig_call 1 "$key" '{"route":"r1","kind":"write","statement":"put certificate valid"}')"
@@ -111,15 +116,19 @@
 step old_half_is_refused '*not_run*wrong_half*' "$answer"
 
 # A planned stop under load cuts off no request.
-"$rigBin/chervilpin-load" --proxy "127.0.0.1:$(callerPort 1)" --proxy "127.0.0.1:$(callerPort 2)" \
-    --route r1 --team "registry,$key,100,400,100" --seconds 3 >"$rigDirectory/stop-load.txt" &
+admins=()
+for node in $(seq 1 "$rigNodes"); do admins+=(--admin "127.0.0.1:$(adminPort "$node")"); done
+"$rigBin/chervilpin-load" "${proxies[@]}" "${admins[@]}" --route r1 \
+    --team "registry,$key,100,400,100" --seconds 4 >"$rigDirectory/stop-load.txt" &
 load=$!
 sleep 1
 kill -TERM "${rigPids[n3]}"
 wait "${rigPids[n3]}" && stopped=0 || stopped=$?
 unset "rigPids[n3]"
 wait "$load"
-step planned_stop 0 "$stopped" "refused=$(grep -c refused "$rigDirectory/stop-load.txt" || true)"
+sent="$(sed -n 's/^sent=//p' "$rigDirectory/stop-load.txt")"
+answered="$(sed -n 's/^done=//p' "$rigDirectory/stop-load.txt")"
+step planned_stop "0 $sent" "$stopped $answered" "sent=$sent done=$answered"
 
 echo "result=$([ "$broken" = 0 ] && echo kept || echo BROKEN) broken=$broken"
 if [ -n "$isStaying" ]; then
--- a/Utilities/chervilpin-load/Generator.cpp
+++ b/Utilities/chervilpin-load/Generator.cpp
@@ -1,7 +1,6 @@
 #include <Utilities/chervilpin-load/Generator.h>
 
 #include <Core/SteadyClock.h>
-#include <Http/Server.h>
 
 #include <algorithm>
 #include <boost/json/object.hpp>
@@ -47,13 +46,10 @@
                                                             const Options &options)
 {
     std::unique_ptr<Generator> generator(new Generator(context, options));
-    for (const auto &proxy : options.proxies) {
-        const auto endpoint = TRY(Http::parseEndpoint(proxy));
-        if (!endpoint.address().is_loopback())
-            return Core::failure(Core::ErrorCode::InvalidArgument,
-                                 "load goes to loopback addresses only, not to " + proxy);
-        generator->clients_.push_back(std::make_unique<Http::Client>(context, endpoint));
-    }
+    generator->balancer_ = TRY(Balancer::create(context, options.proxies, options.admins));
+    if (options.idleConnections > 0)
+        generator->idleConnections_ =
+            TRY(IdleConnections::create(context, options.proxies.front(), options.idleConnections));
     for (const auto &team : options.teams)
         generator->teams_.push_back({team, {}, team.burst, 0, 0});
     for (const auto &route : options.routes) {
@@ -82,6 +78,9 @@
         team.modelMicroseconds = startMicroseconds_;
         team.nextMicroseconds = startMicroseconds_;
     }
+    balancer_->start();
+    if (idleConnections_)
+        idleConnections_->start(options_.length);
     schedule();
 }
 
@@ -94,6 +93,8 @@
         sendDue();
         if (Core::SteadyClock::nowMicroseconds() < endMicroseconds_)
             schedule();
+        else
+            balancer_->stop();
     });
 }
 
@@ -168,11 +169,10 @@
         request.fields.push_back({"Chervilpin-Session", session.token});
     request.body = bodyFor(*pending);
     ++outstanding_;
-    Http::Client &client = *clients_[random_.below(clients_.size())];
-    client.send(std::move(request), options_.deadline + answerAllowance,
-                [this, pending](const Core::ErrorOr<Http::Response> &response) {
-                    answered(pending, response);
-                });
+    balancer_->choose(random_).send(std::move(request), options_.deadline + answerAllowance,
+                                    [this, pending](const Core::ErrorOr<Http::Response> &response) {
+                                        answered(pending, response);
+                                    });
 }
 
 std::string Generator::bodyFor(Pending &pending)
--- a/Utilities/chervilpin-load/Generator.h
+++ b/Utilities/chervilpin-load/Generator.h
@@ -3,6 +3,8 @@
 #include <Core/Random.h>
 #include <Core/Result.h>
 #include <Http/Client.h>
+#include <Utilities/chervilpin-load/Balancer.h>
+#include <Utilities/chervilpin-load/IdleConnections.h>
 #include <Utilities/chervilpin-load/Options.h>
 #include <Utilities/chervilpin-load/Report.h>
 
@@ -74,7 +76,8 @@
     Options options_;
     Core::Random random_;
     boost::asio::steady_timer timer_;
-    std::vector<std::unique_ptr<Http::Client>> clients_;
+    std::unique_ptr<Balancer> balancer_;
+    std::unique_ptr<IdleConnections> idleConnections_;
     std::vector<Team> teams_;
     std::vector<std::ofstream> histories_; ///< By route.
     std::ofstream timeline_;
--- a/Utilities/chervilpin-load/Options.h
+++ b/Utilities/chervilpin-load/Options.h
@@ -27,6 +27,7 @@
 struct Options
 {
     std::vector<std::string> proxies; ///< IP:port of the callers' listeners.
+    std::vector<std::string> admins;  ///< IP:port of their admin listeners, or none.
     std::vector<std::string> routes;
     std::vector<TeamOptions> teams;
     std::uint64_t seed = 1;
@@ -37,9 +38,10 @@
     Core::Duration statedAge{1'000};
     Core::Duration deadline{5'000};
     std::uint32_t sessionsPerTeam = 64;
-    std::string historyPrefix; ///< `<prefix><route>.jsonl` are written; empty: none.
-    std::string jsonPath;      ///< Where the figures are written as well; empty: nowhere.
-    std::string timelinePath;  ///< A line for each request: start, end, team, outcome; empty: none.
+    std::size_t idleConnections = 0; ///< Opened to the first proxy, and left idle.
+    std::string historyPrefix;       ///< `<prefix><route>.jsonl` are written; empty: none.
+    std::string jsonPath;            ///< Where the figures are written as well; empty: nowhere.
+    std::string timelinePath; ///< A line for each request: start, end, team, outcome; empty: none.
 };
 
 } // namespace Chervilpin::Load
--- a/Utilities/chervilpin-load/main.cpp
+++ b/Utilities/chervilpin-load/main.cpp
@@ -12,6 +12,7 @@
 constexpr int exitOk = 0;
 constexpr int exitUsage = 2;
 constexpr std::int64_t maximumSeconds = 600;
+constexpr int maximumIdleConnections = 10'000;
 
 const std::string helpFooter = R"(Example:
   chervilpin-load --proxy 127.0.0.1:7701 --proxy 127.0.0.1:7702 --route registry \
@@ -33,6 +34,13 @@
 {
     Options &options = line.options;
     app.add_option("--proxy", options.proxies, "IP:port of a proxy; repeatable")->required();
+    app.add_option(
+        "--admin", options.admins,
+        "IP:port of a proxy's admin listener, in the order of --proxy; only proxies that "
+        "are ready are sent to");
+    app.add_option("--idle-connections", options.idleConnections,
+                   "Connections to the first proxy that say nothing")
+        ->check(CLI::Range(0, maximumIdleConnections));
     app.add_option("--route", options.routes, "A route; repeatable")->required();
     app.add_option("--team", line.teams, "name,key,offered/s,rate/s,burst; repeatable")->required();
     app.add_option("--seconds", line.seconds, "How long requests are sent")
