Test transactions, stated ages, halves and queued keys through the engine

A statement that was under way when its connection broke is expected to be unknown, not ended: it ran, as the tracker's own note says. What follows on the transaction is expected as transaction_ended and not run.

--- a/Tests/Engine/FakeDatabase.cpp
+++ b/Tests/Engine/FakeDatabase.cpp
@@ -121,6 +121,12 @@
         answers_.push_back(std::move(one));
 }
 
+void FakeDatabase::breakConnections()
+{
+    for (const auto &[id, session] : sessions_)
+        broken_.push_back(id);
+}
+
 std::size_t FakeDatabase::timesRun(std::string_view text) const
 {
     const auto found = run_.find(text);
--- a/Tests/Engine/FakeDatabase.h
+++ b/Tests/Engine/FakeDatabase.h
@@ -44,6 +44,7 @@
     [[nodiscard]] std::vector<DatabaseAnswer> takeAnswers(Core::Instant now);
     [[nodiscard]] std::vector<Engine::ConnectionId> takeBroken();
     void releaseHeld();
+    void breakConnections();
     /// How often a text was run with success, in a transaction or not.
     [[nodiscard]] std::size_t timesRun(std::string_view text) const;
     /// How often a text is in the log.
--- a/Tests/Engine/TestCallers.cpp
+++ b/Tests/Engine/TestCallers.cpp
@@ -198,3 +198,150 @@
     for (const auto &text : harness.statementsSent)
         CHECK(text.find("northsecret") == std::string::npos);
 }
+
+TEST(Callers, StatedAgesWithStalledReplicas)
+{
+    struct Case
+    {
+        const char *name;
+        Freshness freshness;
+        Core::Duration maximumAge;
+    };
+    const Case cases[] = {
+        {"session without a token", Freshness::Session, {}},
+        {"strong", Freshness::Strong, {}},
+        {"an age of 100 ms", Freshness::StatedAge, 100_ms},
+        {"an age of 1 s", Freshness::StatedAge, 1_s},
+    };
+    Harness harness;
+    harness.database("c").isReplicationStalled = true;
+    checkAnswer(harness.call(Harness::request(RequestKind::Write, "put x 1")), Core::Outcome::Done,
+                RefusalReason::None, "write");
+    harness.run(2_s);
+    for (const auto &one : cases) {
+        for (int i = 0; i < 10; ++i) {
+            auto read = Harness::request(RequestKind::Read, "get x");
+            read.freshness = one.freshness;
+            read.maximumAge = one.maximumAge;
+            const auto answer = harness.call(read);
+            checkAnswer(answer, Core::Outcome::Done, RefusalReason::None, one.name);
+            LONGS_EQUAL_TEXT(1, answer.rows.size(), one.name);
+        }
+    }
+}
+
+TEST(Callers, ATransactionTakesEffectWithItsCommitAlone)
+{
+    Harness harness;
+    const auto begun = harness.call(Harness::request(RequestKind::Begin, ""));
+    checkAnswer(begun, Core::Outcome::Done, RefusalReason::None, "begin");
+    auto write = Harness::request(RequestKind::Write, "put x 1");
+    write.transaction = begun.transaction;
+    checkAnswer(harness.call(write), Core::Outcome::Done, RefusalReason::None, "write");
+    checkAnswer(harness.call(Harness::request(RequestKind::Write, "put y 1")), Core::Outcome::Done,
+                RefusalReason::None, "beside it");
+    LONGS_EQUAL(0, harness.timesKept("put x 1"));
+    auto commit = Harness::request(RequestKind::Commit, "");
+    commit.transaction = begun.transaction;
+    checkAnswer(harness.call(commit), Core::Outcome::Done, RefusalReason::None, "commit");
+    LONGS_EQUAL(1, harness.timesKept("put x 1"));
+    checkAnswer(harness.call(write), Core::Outcome::NotRun, RefusalReason::TransactionEnded,
+                "after its commit");
+}
+
+TEST(Callers, AConnectionThatBreaksEndsItsTransaction)
+{
+    struct Case
+    {
+        const char *name;
+        RequestKind kind;
+        const char *statement;
+        std::size_t kept;
+    };
+    const Case cases[] = {
+        {"write", RequestKind::Write, "put y 1", 0},
+        {"commit", RequestKind::Commit, "", 1},
+    };
+    for (const auto &one : cases) {
+        Harness harness;
+        const auto begun = harness.call(Harness::request(RequestKind::Begin, ""));
+        auto write = Harness::request(RequestKind::Write, "put x 1");
+        write.transaction = begun.transaction;
+        checkAnswer(harness.call(write), Core::Outcome::Done, RefusalReason::None, one.name);
+        harness.database("a").fault = StatementFault::RunThenBreak;
+        auto last = Harness::request(one.kind, one.statement);
+        last.transaction = begun.transaction;
+        const auto answer = harness.call(last);
+        // It ran, though its effect may be gone, so `not run` would be untrue.
+        checkAnswer(answer, Core::Outcome::Unknown, RefusalReason::AnswerLost, one.name);
+        harness.database("a").fault = StatementFault::None;
+        checkAnswer(harness.call(write), Core::Outcome::NotRun, RefusalReason::TransactionEnded,
+                    one.name);
+        LONGS_EQUAL_TEXT(one.kept, harness.timesKept("put x 1"), one.name);
+    }
+}
+
+TEST(Callers, AConnectionThatBreaksBetweenStatementsEndsItsTransaction)
+{
+    Harness harness;
+    auto write = Harness::request(RequestKind::Write, "put x 1");
+    write.transaction = harness.call(Harness::request(RequestKind::Begin, "")).transaction;
+    checkAnswer(harness.call(write), Core::Outcome::Done, RefusalReason::None, "write");
+    harness.database("a").breakConnections();
+    harness.run(100_ms);
+    for (const auto kind : {RequestKind::Write, RequestKind::Commit, RequestKind::Rollback}) {
+        auto next = Harness::request(kind, kind == RequestKind::Write ? "put y 1" : "");
+        next.transaction = write.transaction;
+        checkAnswer(harness.call(next), Core::Outcome::NotRun, RefusalReason::TransactionEnded,
+                    "next");
+    }
+    LONGS_EQUAL(0, harness.timesKept("put x 1"));
+    LONGS_EQUAL(0, harness.timesRun("put y 1"));
+}
+
+TEST(Callers, ANodeOfTheOtherHalfTellsWhereToGo)
+{
+    Harness harness("south");
+    const auto answer = harness.call(Harness::request(RequestKind::Write, "put x 1"));
+    checkAnswer(answer, Core::Outcome::NotRun, RefusalReason::WrongHalf, "south");
+    STRCMP_EQUAL("http://north", answer.location.c_str());
+    LONGS_EQUAL(0, harness.timesRun("put x 1"));
+}
+
+TEST(Callers, ASecondProxyKeepsTheSessionsPromise)
+{
+    Harness harness({}, 2);
+    harness.database("c").isReplicationStalled = true;
+    const auto written = harness.call(Harness::request(RequestKind::Write, "put x 1"), 0);
+    checkAnswer(written, Core::Outcome::Done, RefusalReason::None, "write");
+    for (int i = 0; i < 10; ++i) {
+        auto read = Harness::request(RequestKind::Read, "get x");
+        read.sessionToken = written.sessionToken;
+        const auto answer = harness.call(read, 1);
+        checkAnswer(answer, Core::Outcome::Done, RefusalReason::None, "read");
+        LONGS_EQUAL(1, answer.rows.size());
+    }
+}
+
+TEST(Callers, AKeyWithdrawnWhileAWriteIsQueuedIsNotRun)
+{
+    Harness harness;
+    harness.database("a").fault = StatementFault::HoldAnswer;
+    std::vector<RequestId> ids;
+    for (int i = 0; i < 40; ++i) {
+        auto request = Harness::request(RequestKind::Write, "put x" + std::to_string(i) + " 1");
+        request.deadline = 30_s;
+        ids.push_back(harness.ask(request));
+    }
+    harness.run(100_ms);
+    LONGS_EQUAL(0, harness.timesKept("put x39 1"));
+    CHECK(harness.withdrawKey());
+    harness.run(100_ms);
+    CHECK(harness.answer(ids.back()) != nullptr);
+    checkAnswer(*harness.answer(ids.back()), Core::Outcome::NotRun, RefusalReason::UnknownKey,
+                "queued");
+    harness.database("a").fault = StatementFault::None;
+    harness.database("a").releaseHeld();
+    harness.run(5_s);
+    LONGS_EQUAL(0, harness.timesRun("put x39 1"));
+}
