--- a/Tests/Engine/Harness.cpp
+++ b/Tests/Engine/Harness.cpp
@@ -99,6 +99,7 @@
     settings.operatorSalt = salt;
     settings.operatorDigest =
         Configuration::credentialDigest(salt, "rootsecretrootsecret").value_or("");
+    platform_.vms.push_back({settings.name, settings.dataCentre, settings.peerAddress, false});
     nodes_.push_back({std::make_unique<Engine::Engine>(settings, seed + number, now), settings});
     perform(number);
 }
@@ -130,7 +131,7 @@
         events_.erase(events_.begin());
         event();
     }
-    answerWatches();
+    answerPlatform();
     answerDatabases();
     for (std::size_t node = 0; node < nodes_.size(); ++node) {
         nodes_[node].engine->tick(now);
@@ -218,7 +219,7 @@
             if (name != databaseOf_.end())
                 database(name->second).receive(sent, now);
         },
-        [&](Engine::CallPlatform &one) { callPlatform(node, std::move(one.call)); },
+        [&](Engine::CallPlatform &one) { platform_.receive(node, std::move(one.call), now); },
         [&](Engine::SendToPeer &sent) {
             const auto to = std::ranges::find(nodes_, sent.message.to,
                                               [](const Node &one) { return one.settings.name; });
@@ -238,73 +239,14 @@
     std::visit(handle, action);
 }
 
-void Harness::callPlatform(std::size_t node, Platform::Call call)
+void Harness::answerPlatform()
 {
-    if (const auto *watch = std::get_if<Platform::Watch>(&call.body); watch && isPlatformUp) {
-        const auto until = now + watch->wait;
-        watches_.push_back({node, std::move(call), until});
-        return;
-    }
-    Platform::Reply reply{call.id, platformReply(call.body)};
-    later(10_ms, [this, node, reply] {
-        nodes_[node].engine->platformReply(reply, now);
-        perform(node);
-    });
-}
-
-void Harness::answerWatches()
-{
-    for (auto &one : std::exchange(watches_, {})) {
-        const auto &watch = std::get<Platform::Watch>(one.call.body);
-        auto changes = store_.changesSince(watch.prefix, watch.since);
-        const bool isDue = !changes.objects.empty() || now >= one.until;
-        if (isPlatformUp && !isDue) {
-            watches_.push_back(std::move(one));
-            continue;
-        }
-        Platform::ReplyBody body = std::move(changes);
-        if (!isPlatformUp)
-            body = Platform::NoAnswer{false, "cut"};
-        nodes_[one.node].engine->platformReply({one.call.id, std::move(body)}, now);
+    for (auto &one : platform_.takeReplies(now)) {
+        nodes_[one.node].engine->platformReply(std::move(one.reply), now);
         perform(one.node);
     }
 }
 
-Platform::ReplyBody Harness::platformReply(const Platform::CallBody &body) const
-{
-    if (!isPlatformUp)
-        return Platform::NoAnswer{true, "cut"};
-    const auto written = [this](const auto &result) -> Platform::ReplyBody {
-        if (!result)
-            return Platform::NoAnswer{true, result.error().message};
-        if (const auto *conflict = std::get_if<Platform::VersionConflict>(&*result))
-            return *conflict;
-        return Platform::Objects{{std::get<Platform::Object>(*result)}, store_.revision()};
-    };
-    const Core::Overloaded handle{
-        [&](const Platform::Get &get) -> Platform::ReplyBody {
-            auto object = store_.get(get.key);
-            if (object.version == 0)
-                return Platform::Missing();
-            return Platform::Objects{{std::move(object)}, store_.revision()};
-        },
-        [&](const Platform::Put &put) { return written(store_.put(put)); },
-        [&](const Platform::Delete &erased) { return written(store_.erase(erased)); },
-        [&](const Platform::List &list) -> Platform::ReplyBody { return store_.list(list.prefix); },
-        [&](const Platform::Watch &watch) -> Platform::ReplyBody {
-            return store_.changesSince(watch.prefix, watch.since);
-        },
-        [&](const Platform::ListVms &) -> Platform::ReplyBody {
-            Platform::Vms vms;
-            for (const auto &node : nodes_)
-                vms.vms.push_back({node.settings.name, node.settings.dataCentre,
-                                   node.settings.peerAddress, false});
-            return vms;
-        },
-    };
-    return std::visit(handle, body);
-}
-
 bool Harness::change(const std::string &resources)
 {
     const auto id = ++lastId_;
--- a/Tests/Engine/Harness.h
+++ b/Tests/Engine/Harness.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <Engine/Engine.h>
-#include <StandIn/ObjectStore.h>
 #include <Tests/Engine/FakeDatabase.h>
+#include <Tests/Engine/FakePlatform.h>
 
 #include <functional>
 #include <map>
@@ -41,6 +41,7 @@
     Engine::CallerAnswer call(Engine::CallerRequest, std::size_t engine = 0);
 
     [[nodiscard]] FakeDatabase &database(std::string_view name);
+    FakePlatform &platform() { return platform_; }
     void stallReplicas();
     void resumeReplicas();
     [[nodiscard]] std::size_t timesRun(std::string_view text) const;
@@ -49,7 +50,6 @@
     Engine::Engine &engine(std::size_t number = 0) { return *nodes_[number].engine; }
 
     Core::Instant now{100'000};
-    bool isPlatformUp = true;
     bool isStopped = false;
     std::size_t answersGiven = 0;
     std::vector<std::string> statementsSent; ///< Texts, names of transactions and trace contexts.
@@ -60,31 +60,22 @@
         std::unique_ptr<Engine::Engine> engine;
         Engine::NodeSettings settings;
     };
-    struct Watch
-    {
-        std::size_t node = 0;
-        Platform::Call call;
-        Core::Instant until;
-    };
 
     void addNode(std::size_t number, std::string_view half, std::size_t count);
     void step();
     void replicate();
-    void answerWatches();
+    void answerPlatform();
     void answerDatabases();
     void perform(std::size_t node);
     void performOne(std::size_t node, Engine::Action);
-    void callPlatform(std::size_t node, Platform::Call);
-    [[nodiscard]] Platform::ReplyBody platformReply(const Platform::CallBody &) const;
     void later(Core::Duration, std::function<void()>);
     [[nodiscard]] static Engine::ConnectionId toFake(std::size_t node, Engine::ConnectionId);
 
     std::vector<Node> nodes_;
-    mutable StandIn::ObjectStore store_;
+    FakePlatform platform_;
     std::map<std::string, FakeDatabase, std::less<>> databases_;
     std::map<Engine::ConnectionId, std::string> databaseOf_;
     std::multimap<Core::Instant, std::function<void()>> events_;
-    std::vector<Watch> watches_;
     std::map<Engine::RequestId, Engine::CallerAnswer> answers_;
     std::map<Engine::RequestId, unsigned> operatorAnswers_;
     Engine::RequestId lastId_ = 0;
--- a/Tests/Engine/TestCallers.cpp
+++ b/Tests/Engine/TestCallers.cpp
@@ -147,7 +147,7 @@
 TEST(Callers, AnIsolatedNodeRefusesKeys)
 {
     Harness harness;
-    harness.isPlatformUp = false;
+    harness.platform().isUp = false;
     harness.run(61_s);
     checkAnswer(harness.call(Harness::request(RequestKind::Write, "put x 1")),
                 Core::Outcome::NotRun, RefusalReason::UnknownKey, "isolated");
