--- a/Tests/Engine/TestCallers.cpp
+++ b/Tests/Engine/TestCallers.cpp
@@ -129,15 +129,16 @@
 
 TEST(Callers, ASessionReadsItsWriteWhileAReplicaLags)
 {
-    Harness harness;
-    harness.database("c").isReplicationStalled = true;
+    // The second node is in the data centre of the database that lags.
+    Harness harness({}, 2);
+    harness.database("b").isReplicationStalled = true;
     const auto written = harness.call(Harness::request(RequestKind::Write, "put x 1"));
     checkAnswer(written, Core::Outcome::Done, RefusalReason::None, "write");
     for (const auto &token : {written.sessionToken, std::string(), std::string("garbled")}) {
         for (int i = 0; i < 10; ++i) {
             auto read = Harness::request(RequestKind::Read, "get x");
             read.sessionToken = token;
-            const auto answer = harness.call(read);
+            const auto answer = harness.call(read, 1);
             checkAnswer(answer, Core::Outcome::Done, RefusalReason::None, token.c_str());
             LONGS_EQUAL_TEXT(1, answer.rows.size(), token.c_str());
         }
@@ -213,8 +214,9 @@
         {"an age of 100 ms", Freshness::StatedAge, 100_ms},
         {"an age of 1 s", Freshness::StatedAge, 1_s},
     };
-    Harness harness;
-    harness.database("c").isReplicationStalled = true;
+    // The second node is in the data centre of the database that lags.
+    Harness harness({}, 2);
+    harness.database("b").isReplicationStalled = true;
     checkAnswer(harness.call(Harness::request(RequestKind::Write, "put x 1")), Core::Outcome::Done,
                 RefusalReason::None, "write");
     harness.run(2_s);
@@ -223,7 +225,7 @@
             auto read = Harness::request(RequestKind::Read, "get x");
             read.freshness = one.freshness;
             read.maximumAge = one.maximumAge;
-            const auto answer = harness.call(read);
+            const auto answer = harness.call(read, 1);
             checkAnswer(answer, Core::Outcome::Done, RefusalReason::None, one.name);
             LONGS_EQUAL_TEXT(1, answer.rows.size(), one.name);
         }
@@ -311,7 +313,7 @@
 TEST(Callers, ASecondProxyKeepsTheSessionsPromise)
 {
     Harness harness({}, 2);
-    harness.database("c").isReplicationStalled = true;
+    harness.database("b").isReplicationStalled = true;
     const auto written = harness.call(Harness::request(RequestKind::Write, "put x 1"), 0);
     checkAnswer(written, Core::Outcome::Done, RefusalReason::None, "write");
     for (int i = 0; i < 10; ++i) {
