--- a/Libraries/Engine/GroupRuntime.cpp
+++ b/Libraries/Engine/GroupRuntime.cpp
@@ -44,9 +44,10 @@
         entry->second.settings = database;
     }
     std::vector<Core::DatabaseName> removed;
-    for (const auto &[name, database] : databases) {
-        const auto isNamed = [&](const auto &entry) {
-            return entry.name == name;
+    for (const auto &entry : databases) {
+        const Core::DatabaseName &name = entry.first;
+        const auto isNamed = [&name](const auto &database) {
+            return database.name == name;
         };
         if (std::ranges::none_of(groupSpec.databases, isNamed))
             removed.push_back(name);
--- a/Tests/Engine/Harness.cpp
+++ b/Tests/Engine/Harness.cpp
@@ -8,22 +8,12 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <CppUTest/MemoryLeakWarningPlugin.h>
-
 namespace Chervilpin::Testing {
 
 using namespace Core::Literals;
 
 namespace {
 
-/// NOTE: CppUTest keeps its lists inside the blocks that it gave out. Shared libraries take blocks
-/// before main() switches it off, and free some during the tests; its lists then lead nowhere.
-[[gnu::constructor(101)]] void forgetEarlyBlocks()
-{
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    MemoryLeakWarningPlugin::destroyGlobalDetector();
-}
-
 constexpr std::uint64_t seed = 7;
 constexpr const char *salt = "00112233445566778899aabbccddeeff";
 constexpr const char *operatorText = "Bearer cvo_root_rootsecretrootsecret";
