--- a/Utilities/chervilpin-load/Generator.cpp
+++ b/Utilities/chervilpin-load/Generator.cpp
@@ -63,8 +63,7 @@
 }
 
 Generator::Generator(boost::asio::io_context &context, const Options &options)
-    : context_(context)
-    , options_(options)
+    : options_(options)
     , random_(options.seed)
     , timer_(context)
 { }
--- a/Utilities/chervilpin-load/Generator.h
+++ b/Utilities/chervilpin-load/Generator.h
@@ -72,7 +72,6 @@
     void writeHistory(const Pending &, std::uint64_t position);
     [[nodiscard]] std::string bodyFor(Pending &);
 
-    boost::asio::io_context &context_;
     Options options_;
     Core::Random random_;
     boost::asio::steady_timer timer_;
