--- a/Meta/chervilpin.sh
+++ b/Meta/chervilpin.sh
@@ -17,10 +17,10 @@
     ;;
 test)
     build
-    known="$(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | sed '/^$/d' | paste -sd'|')"
+    known="$(sed '/^#/d; /^$/d; s/|.*//; s/ //g' KNOWN-RED.txt | paste -sd'|')"
     if [ -n "$known" ]; then
         echo "Known to fail, not run (KNOWN-RED.txt):"
-        grep -v '^#' KNOWN-RED.txt
+        sed '/^#/d' KNOWN-RED.txt
     fi
     ctest --test-dir Build --output-on-failure -j "$(nproc)" ${known:+-E "^($known)$"}
     ;;
