--- a/Utilities/chervilpin-load/Generator.cpp
+++ b/Utilities/chervilpin-load/Generator.cpp
@@ -139,7 +139,9 @@
         }
     }
     auto session = std::make_unique<Session>();
-    session->name = team.options.name + "-" + std::to_string(count);
+    // The seed keeps apart the rows of runs against the same databases.
+    session->name =
+        team.options.name + "-" + std::to_string(options_.seed) + "-" + std::to_string(count);
     session->key = session->name;
     session->route = count % options_.routes.size();
     return *team.sessions.emplace_back(std::move(session));
--- a/Utilities/chervilpin-load/Report.cpp
+++ b/Utilities/chervilpin-load/Report.cpp
@@ -18,6 +18,13 @@
     return static_cast<double>(microseconds) / microsecondsPerMillisecond;
 }
 
+/// How many more requests the team's rate and burst allowed than were served. For a team that sends
+/// more than its rate no single refusal can be called wrongful, only the number that is missing.
+double wrongfulRefusals(std::uint64_t withinRate, std::uint64_t served)
+{
+    return withinRate > served ? static_cast<double>(withinRate - served) : 0;
+}
+
 double median(std::vector<double> values)
 {
     if (values.empty())
@@ -39,8 +46,6 @@
     if (sample.outcome != "done") {
         if (sample.outcome == "unknown" || sample.outcome == "no_answer")
             ++team.unknown;
-        else if (sample.isWithinRate)
-            ++team.wrongfulRefusals;
         ++team.refusals[sample.reason.empty() ? sample.outcome : sample.reason];
         return;
     }
@@ -78,7 +83,7 @@
         done += static_cast<double>(team.done);
         unknown += static_cast<double>(team.unknown);
         within += static_cast<double>(team.withinRate);
-        wrongful += static_cast<double>(team.wrongfulRefusals);
+        wrongful += wrongfulRefusals(team.withinRate, team.done + team.unknown);
     }
     figures["sent"] = sent;
     figures["done"] = done;
--- a/Utilities/chervilpin-load/Report.h
+++ b/Utilities/chervilpin-load/Report.h
@@ -40,7 +40,6 @@
         std::uint64_t done = 0;
         std::uint64_t unknown = 0;
         std::uint64_t withinRate = 0;
-        std::uint64_t wrongfulRefusals = 0;
         std::map<std::string, std::uint64_t> refusals;
         Observe::TimeHistogram latencies; ///< Of done requests, from when they were due.
     };
