--- a/Libraries/Engine/RequestPipelineExecute.cpp
+++ b/Libraries/Engine/RequestPipelineExecute.cpp
@@ -57,6 +57,18 @@
     return statement;
 }
 
+Route::RouteRequest routeRequestFor(const Request &request)
+{
+    Route::RouteRequest wanted;
+    wanted.kind = request.caller.kind;
+    wanted.freshness = request.caller.freshness;
+    wanted.tokenMark = request.token.demandedMark(request.group);
+    wanted.maximumAge = request.caller.maximumAge;
+    wanted.arrived = request.arrived;
+    wanted.deadline = request.deadline;
+    return wanted;
+}
+
 /// Whether the transaction is still open on its connection after this answer.
 bool staysPinned(const StatementPurpose &purpose, const Upstream::Answer &answer)
 {
@@ -73,13 +85,7 @@
 {
     GroupRuntime &group = groupOf(request);
     enter(request, Stage::Route, now);
-    Route::RouteRequest wanted;
-    wanted.kind = request.caller.kind;
-    wanted.freshness = request.caller.freshness;
-    wanted.tokenMark = request.token.demandedMark(request.group);
-    wanted.maximumAge = request.caller.maximumAge;
-    wanted.arrived = request.arrived;
-    wanted.deadline = request.deadline;
+    Route::RouteRequest wanted = routeRequestFor(request);
     wanted.excluded = request.excluded;
     for (const auto &[name, database] : group.databases) {
         if (database.settings.isLeaving && request.isRead())
@@ -229,13 +235,7 @@
     if (now - request.open.front().asked.at < group.hedges.delay() || !group.hedges.tryHedge(now))
         return;
     request.isHedged = true;
-    Route::RouteRequest wanted;
-    wanted.kind = request.caller.kind;
-    wanted.freshness = request.caller.freshness;
-    wanted.tokenMark = request.token.demandedMark(request.group);
-    wanted.maximumAge = request.caller.maximumAge;
-    wanted.arrived = request.arrived;
-    wanted.deadline = request.deadline;
+    Route::RouteRequest wanted = routeRequestFor(request);
     wanted.excluded = {request.open.front().database};
     const auto decision = router_.route(wanted, group.view, now);
     const auto *target = std::get_if<Route::SendTo>(&decision);
--- a/Meta/bench.sh
+++ b/Meta/bench.sh
@@ -229,6 +229,7 @@
     for name in sent done unknown wrongful_refusals p99_ms; do
         figure "rolling.$name" "$(valueOf "$name" "$rigDirectory/rolling.txt")"
     done
+    grep refused "$rigDirectory/rolling.txt" | sed "s/^/rolling./" | tee -a "$figures" || true
     figure rolling.audit "$(rig_audit "$rigDirectory/rolling-" | sort -u | tr ' \n' ',;' || true)"
     rig_stop
 }
