Lending a connection and sending on it is one step, for hedges too

Cause: on reading the change again, the mend of a lent but unused connection stood only where queued statements are sent; its twin, the hedge, still left such a connection busy for good. Both call lendAndSend() now. Whether a connection owes a statement's answer is asked of the matcher instead of a scan over all outstanding requests at each end of a transaction's statement. Ruled out: any change of what is sent; the checks are the same.

--- a/Libraries/Engine/ConnectionTable.cpp
+++ b/Libraries/Engine/ConnectionTable.cpp
@@ -138,11 +138,8 @@
 
 bool ConnectionTable::owesStatement(ConnectionId id) const
 {
-    return std::ranges::any_of(outstanding_, [id](const auto &entry) {
-        const Outstanding &request = entry.second;
-        return request.connection == id
-            && std::holds_alternative<StatementPurpose>(request.purpose);
-    });
+    const auto found = connections_.find(id);
+    return found != connections_.end() && found->second.isOpen && !matcher_.isLendable(key(id));
 }
 
 std::vector<ConnectionId> ConnectionTable::connectionsOf(const Core::DatabaseName &database) const
--- a/Libraries/Engine/RequestPipeline.h
+++ b/Libraries/Engine/RequestPipeline.h
@@ -84,6 +84,8 @@
     void hedge(Request &, Core::Instant now);
 
     // Execute.
+    [[nodiscard]] bool lendAndSend(Request &, GroupRuntime &, DatabaseRuntime &,
+                                   const Route::SendTo &, Core::Instant now);
     [[nodiscard]] bool send(Request &, GroupRuntime &, DatabaseRuntime &, ConnectionId,
                             const Route::SendTo &, Core::Instant now);
     void delivered(Request &, GroupRuntime &, Core::Instant now);
--- a/Libraries/Engine/RequestPipelineExecute.cpp
+++ b/Libraries/Engine/RequestPipelineExecute.cpp
@@ -187,13 +187,7 @@
             database.waiting.pop_front();
             if (!request || request->stage != Stage::Borrow)
                 continue;
-            const auto generation = database.pool.lend(now);
-            const auto connection =
-                generation ? node_.connections.findPooled(name, *generation) : std::nullopt;
-            if (!connection
-                || !send(*request, group, database, *connection, *request->target, now)) {
-                if (generation)
-                    database.pool.abandoned(*generation, now);
+            if (!lendAndSend(*request, group, database, *request->target, now)) {
                 auto context = retryContext(*request, now);
                 apply(*request, request->attempts->notSent(name, context, now), now);
             }
@@ -201,6 +195,20 @@
     }
 }
 
+bool RequestPipeline::lendAndSend(Request &request, GroupRuntime &group, DatabaseRuntime &database,
+                                  const Route::SendTo &target, Core::Instant now)
+{
+    const auto generation = database.pool.lend(now);
+    if (!generation)
+        return false;
+    const auto connection = node_.connections.findPooled(target.database, *generation);
+    if (connection && send(request, group, database, *connection, target, now))
+        return true;
+    // Lent and not used, it would count as busy for good.
+    database.pool.abandoned(*generation, now);
+    return false;
+}
+
 bool RequestPipeline::send(Request &request, GroupRuntime &group, DatabaseRuntime &database,
                            ConnectionId connection, const Route::SendTo &target, Core::Instant now)
 {
@@ -242,10 +250,7 @@
     DatabaseRuntime *database = target ? group.find(target->database) : nullptr;
     if (!database || target->database == request.open.front().database || !database->hasRoom())
         return;
-    const auto generation = database->pool.lend(now);
-    const auto connection =
-        generation ? node_.connections.findPooled(target->database, *generation) : std::nullopt;
-    if (connection && send(request, group, *database, *connection, *target, now))
+    if (lendAndSend(request, group, *database, *target, now))
         node_.outbox.count("chervilpin_hedges_total");
 }
 
