--- /dev/null
+++ b/Libraries/Fleet/Actions.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Fleet/Heartbeat.h>
+#include <Fleet/Records.h>
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// What the fleet's decisions ask of the shell around them.
+namespace Chervilpin::Fleet {
+
+using CallId = std::uint64_t;
+
+/// Writes a record if it still has the expected revision; 0 creates it.
+struct WriteRecord
+{
+    CallId id = 0;
+    Record record;
+    Revision expected = 0;
+};
+
+struct DeleteRecord
+{
+    std::string key;
+    Revision expected = 0;
+};
+
+struct SendHeartbeat
+{
+    std::string address; ///< IP:port.
+    Heartbeat message;
+};
+
+/// Orders the platform to make a database the primary of its group.
+struct OrderPromotion
+{
+    CallId id = 0;
+    Core::GroupName group;
+    Core::DatabaseName database;
+    Revision token = 0; ///< Fencing token; the revision of the record under which it is ordered.
+};
+
+/// Asks a database for its status, in any order and without retries.
+struct AskStatus
+{
+    Core::GroupName group;
+    Core::DatabaseName database;
+};
+
+/// Which primary this proxy may use, and until when.
+struct PrimaryRight
+{
+    Core::GroupName group;
+    Revision revision = 0;
+    Core::DatabaseName database;
+    PrimaryPhase phase = PrimaryPhase::Active;
+    Core::Instant validUntil; ///< Nothing may be sent to the primary from then on.
+};
+
+struct Event
+{
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using Action = std::variant<WriteRecord, DeleteRecord, SendHeartbeat, OrderPromotion, AskStatus,
+                            PrimaryRight, Event>;
+
+enum class WriteOutcome {
+    Done,
+    Conflict, ///< The record has another revision; nothing was changed.
+    Unknown,  ///< No answer; it may have been done or may be done later.
+};
+
+enum class OrderOutcome {
+    Accepted,
+    NotRunning, ///< The database can't be promoted.
+    Unknown,    ///< No answer, or refused for now.
+};
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -0,0 +1,287 @@
+#include <Fleet/FleetEngine.h>
+
+#include <Fleet/Timing.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Fleet {
+
+FleetEngine::FleetEngine(FleetSettings settings, Core::Instant now)
+    : self_(std::move(settings))
+    , startedAt_(now)
+    , nextBeat_(now)
+    , nextReview_(now)
+{ }
+
+void FleetEngine::recordsListed(std::span<const StoredText> records, Core::Instant askedAt,
+                                Core::Instant now)
+{
+    for (const auto &key : view_.replace(records))
+        log("record_unreadable", {{"key", key}});
+    isListed_ = true;
+    confirm(askedAt, now);
+}
+
+void FleetEngine::recordsChanged(std::span<const StoredText> changes, Core::Instant askedAt,
+                                 Core::Instant now)
+{
+    for (const auto &key : view_.apply(changes))
+        log("record_unreadable", {{"key", key}});
+    confirm(askedAt, now);
+}
+
+void FleetEngine::confirm(Core::Instant askedAt, Core::Instant now)
+{
+    storeSeenAt_ = std::max(storeSeenAt_, askedAt);
+    if (view_.isMember(self_.node, self_.boot)) {
+        for (const auto &[group, primary] : view_.primaries())
+            confirmGroup(group, askedAt);
+    }
+    announceChanged();
+    nextReview_ = now;
+}
+
+void FleetEngine::confirmGroup(const Core::GroupName &group, Core::Instant confirmedAt)
+{
+    auto &state = groups_[group];
+    if (state.isConfirmed && confirmedAt <= state.confirmedAt)
+        return;
+    state.isConfirmed = true;
+    state.confirmedAt = confirmedAt;
+    announce(group, state);
+}
+
+void FleetEngine::announceChanged()
+{
+    for (const auto &[group, primary] : view_.primaries()) {
+        auto &state = groups_[group];
+        if (state.announced < primary.revision)
+            announce(group, state);
+    }
+}
+
+void FleetEngine::announce(const Core::GroupName &group, GroupState &state)
+{
+    const auto *primary = view_.findPrimary(group);
+    if (!primary)
+        return;
+    if (state.announced < primary->revision) {
+        log("primary_learned",
+            {{"group", group.value()},
+             {"database", primary->record.database.value()},
+             {"phase", primary->record.phase == PrimaryPhase::Active ? "active" : "replacing"},
+             {"revision", std::to_string(primary->revision)},
+             {"writer", primary->record.writer.value()}});
+        // The new primary is another database, of which nothing is known yet.
+        state.health = Health::Unknown;
+    }
+    state.announced = primary->revision;
+    PrimaryRight right;
+    right.group = group;
+    right.revision = primary->revision;
+    right.database = primary->record.database;
+    right.phase = primary->record.phase;
+    const bool mayHold = state.isConfirmed && right.phase == PrimaryPhase::Active && !isLeaving_;
+    right.validUntil = mayHold ? state.confirmedAt + rightDuration : Core::Instant();
+    actions_.emplace_back(right);
+}
+
+void FleetEngine::primaryReleased(const Core::GroupName &group, Revision revision,
+                                  Core::Instant now)
+{
+    auto &state = groups_[group];
+    if (revision <= state.released)
+        return;
+    state.released = revision;
+    const auto *primary = view_.findPrimary(group);
+    if (!primary || primary->record.phase != PrimaryPhase::Replacing)
+        return;
+    // A leader waits for this; the record in the store is for one that can't be reached directly.
+    sendToAll(Reply::NotWanted, now);
+    const auto &leader = view_.leader();
+    if (leader && !peers_.isHeard(leader->record.node, peerSilence, now)
+        && leader->record.node != self_.node)
+        registerSelf(now);
+    nextReview_ = now;
+}
+
+void FleetEngine::primaryHealth(const Core::GroupName &group, Health health, Core::LogMark mark,
+                                Core::Instant now)
+{
+    auto &state = groups_[group];
+    state.mark = std::max(state.mark, mark);
+    if (state.health == health)
+        return;
+    const bool isNews = health == Health::Suspect || state.health == Health::Suspect;
+    state.health = health;
+    if (!isNews)
+        return;
+    log("primary_health", {{"group", group.value()},
+                           {"health", health == Health::Suspect ? "suspect" : "healthy"}});
+    sendToAll(Reply::NotWanted, now);
+    nextReview_ = now;
+}
+
+void FleetEngine::directoryChanged(std::span<const Sessions::DatabaseEntry> entries,
+                                   Core::Instant now)
+{
+    for (auto &[group, state] : groups_)
+        state.databases.clear();
+    for (const auto &entry : entries)
+        groups_[entry.group].databases.push_back(entry);
+    directorySeenAt_ = now;
+    nextReview_ = now;
+}
+
+void FleetEngine::heartbeat(const Heartbeat &message, Core::Instant now)
+{
+    if (message.node == self_.node || !peers_.heard(message, now))
+        return;
+    learnFrom(message, now);
+    const auto *member = view_.findMember(message.node);
+    if (message.wantsReply && member)
+        sendTo(member->record, Reply::NotWanted, now);
+    if (!plans_.empty())
+        nextReview_ = now;
+}
+
+void FleetEngine::learnFrom(const Heartbeat &message, Core::Instant now)
+{
+    for (const auto &report : message.primaries) {
+        PrimaryRecord record;
+        record.group = report.group;
+        record.database = report.database;
+        record.phase = report.phase;
+        record.writer = message.node;
+        if (report.revision != 0)
+            view_.learn({record, report.revision});
+        if (report.health == Health::Suspect)
+            nextReview_ = now;
+    }
+    announceChanged();
+    if (!message.confirmedAge || !message.isReceiverMember || message.echoBoot != self_.boot)
+        return;
+    // The sender's message left at this moment of the own clock or later.
+    const Core::Instant leftAt = message.echoSentAt + message.echoHeld;
+    for (const auto &report : message.primaries) {
+        const auto *primary = view_.findPrimary(report.group);
+        if (primary && primary->revision == report.revision)
+            confirmGroup(report.group, leftAt - *message.confirmedAge);
+    }
+}
+
+void FleetEngine::writeEnded(CallId call, WriteOutcome outcome, Revision revision,
+                             Core::Instant now)
+{
+    nextReview_ = now;
+    if (call == registration_)
+        registration_ = 0;
+    if (call == leaderClaim_)
+        leaderClaim_ = 0;
+    for (auto &[group, plan] : plans_)
+        plan.writeEnded(call, outcome, revision, now);
+    auto written = writes_.extract(call);
+    if (written.empty())
+        return;
+    if (outcome != WriteOutcome::Done) {
+        log("record_not_written",
+            {{"key", keyOf(written.mapped())},
+             {"outcome", outcome == WriteOutcome::Conflict ? "conflict" : "unknown"}});
+        return;
+    }
+    view_.wrote(written.mapped(), revision);
+    log("record_written",
+        {{"key", keyOf(written.mapped())}, {"revision", std::to_string(revision)}});
+    if (!std::holds_alternative<PrimaryRecord>(written.mapped()))
+        return;
+    announceChanged();
+    sendToAll(Reply::Wanted, now);
+}
+
+void FleetEngine::write(CallId call, Record record, Revision expected)
+{
+    writes_.emplace(call, record);
+    actions_.emplace_back(WriteRecord{call, std::move(record), expected});
+}
+
+void FleetEngine::orderEnded(CallId call, OrderOutcome outcome, Core::Instant now)
+{
+    for (auto &[group, plan] : plans_)
+        plan.orderEnded(call, outcome, now);
+    nextReview_ = now;
+}
+
+void FleetEngine::statusAnswered(const Core::DatabaseName &database,
+                                 const Sessions::DatabaseStatus &status, Core::Instant now)
+{
+    for (auto &[group, plan] : plans_)
+        plan.statusAnswered(database, status, now);
+    nextReview_ = now;
+}
+
+void FleetEngine::leave(Core::Instant now)
+{
+    isLeaving_ = true;
+    sendToAll(Reply::NotWanted, now);
+    const auto *self = view_.findMember(self_.node);
+    if (self && self->record.boot == self_.boot)
+        actions_.emplace_back(DeleteRecord{memberKey(self_.node), self->revision});
+    const auto &leader = view_.leader();
+    if (isLeader())
+        actions_.emplace_back(DeleteRecord{leaderKey(), leader->revision});
+}
+
+Core::Instant FleetEngine::nextDeadline() const
+{
+    return std::min(nextBeat_, nextReview_);
+}
+
+void FleetEngine::advance(Core::Instant now)
+{
+    if (now >= nextBeat_)
+        beat(now);
+    if (now < nextReview_)
+        return;
+    nextReview_ = now + reviewInterval;
+    if (!isListed_ || isLeaving_)
+        return;
+    reviewMembership(now);
+    reviewLeadership(now);
+    if (isLeader())
+        lead(now);
+    else
+        plans_.clear();
+}
+
+std::vector<Action> FleetEngine::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+std::size_t FleetEngine::memberCount() const
+{
+    const auto count = std::ranges::count_if(
+        view_.members(), [](const auto &entry) { return !entry.second.record.isRetired; });
+    return std::max<std::size_t>(1, static_cast<std::size_t>(count));
+}
+
+bool FleetEngine::isLeader() const
+{
+    const auto &leader = view_.leader();
+    return leader && leader->record.node == self_.node && leader->record.boot == self_.boot;
+}
+
+std::uint64_t FleetEngine::newestConfigurationOfPeers() const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[node, peer] : peers_.all())
+        newest = std::max(newest, peer.last.configurationVersion);
+    return newest;
+}
+
+void FleetEngine::log(std::string name, std::vector<std::pair<std::string, std::string>> fields)
+{
+    actions_.emplace_back(Event{std::move(name), std::move(fields)});
+}
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/FleetEngine.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Fleet/Actions.h>
+#include <Fleet/FleetView.h>
+#include <Fleet/PeerTable.h>
+#include <Fleet/PromotionPlan.h>
+#include <Sessions/RoutingTable.h>
+
+#include <map>
+#include <span>
+#include <vector>
+
+namespace Chervilpin::Fleet {
+
+struct FleetSettings
+{
+    Core::NodeName node;
+    Boot boot = 0;
+    Core::DataCentreName dataCentre;
+    std::string address; ///< IP:port for messages of other proxies.
+};
+
+/// One proxy's part in the fleet, as a state machine without I/O: membership, leadership, the
+/// rights to use primaries, and, while it leads, the replacement of primaries.
+///
+/// Safety: a database is ordered to take over only after each member has adopted a record that
+/// ends the old primary's use, or after rightDuration since that record was written. A member's
+/// right never outlives rightDuration after the moment at which a confirmation was asked for.
+/// Times are of the boot-time clock, which goes on while a VM is suspended.
+class FleetEngine
+{
+public:
+    FleetEngine(FleetSettings, Core::Instant now);
+
+    /// The complete records, as the store answered to a question asked at \a askedAt.
+    void recordsListed(std::span<const StoredText>, Core::Instant askedAt, Core::Instant now);
+    /// The changes since; none if nothing changed.
+    void recordsChanged(std::span<const StoredText>, Core::Instant askedAt, Core::Instant now);
+    void writeEnded(CallId, WriteOutcome, Revision, Core::Instant now);
+    void orderEnded(CallId, OrderOutcome, Core::Instant now);
+    void statusAnswered(const Core::DatabaseName &, const Sessions::DatabaseStatus &,
+                        Core::Instant now);
+    void heartbeat(const Heartbeat &, Core::Instant now);
+    void directoryChanged(std::span<const Sessions::DatabaseEntry>, Core::Instant now);
+
+    /// What this proxy's own statements show of a group's primary.
+    void primaryHealth(const Core::GroupName &, Health, Core::LogMark, Core::Instant now);
+    /// Nothing is in flight any more under records older than this revision.
+    void primaryReleased(const Core::GroupName &, Revision, Core::Instant now);
+    /// Demand of this proxy's callers, in operations per second.
+    void setDemand(std::map<Core::TeamName, double> demand) { demand_ = std::move(demand); }
+    void setConfigurationVersion(std::uint64_t version) { configurationVersion_ = version; }
+    /// Says goodbye; the record of this member is removed.
+    void leave(Core::Instant now);
+
+    [[nodiscard]] Core::Instant nextDeadline() const;
+    void advance(Core::Instant now);
+    [[nodiscard]] std::vector<Action> takeActions();
+
+    /// How many proxies share what the databases give.
+    [[nodiscard]] std::size_t memberCount() const;
+    /// The fraction of a team's limits that this proxy may spend.
+    [[nodiscard]] double shareOf(const Core::TeamName &, Core::Instant now) const;
+    /// The newest configuration that another proxy has in force.
+    [[nodiscard]] std::uint64_t newestConfigurationOfPeers() const;
+    [[nodiscard]] bool isLeader() const;
+
+private:
+    struct GroupState
+    {
+        Health health = Health::Unknown;
+        Core::LogMark mark;
+        Revision released = 0;
+        Revision announced = 0; ///< The revision for which PrimaryRight was given last.
+        Core::Instant confirmedAt;
+        bool isConfirmed = false;
+        std::vector<Sessions::DatabaseEntry> databases;
+    };
+
+    enum class Reply {
+        Wanted,
+        NotWanted,
+    };
+
+    void confirm(Core::Instant askedAt, Core::Instant now);
+    void confirmGroup(const Core::GroupName &, Core::Instant confirmedAt);
+    void announce(const Core::GroupName &, GroupState &);
+    void announceChanged();
+    void learnFrom(const Heartbeat &, Core::Instant now);
+
+    void write(CallId, Record, Revision expected);
+    void registerSelf(Core::Instant now);
+    void reviewMembership(Core::Instant now);
+    void reviewLeadership(Core::Instant now);
+    void claimLeadership(Core::Instant now);
+    [[nodiscard]] bool isLeaderGone(Core::Instant now) const;
+
+    void lead(Core::Instant now);
+    void retireSilent(Core::Instant now);
+    void reviewGroup(const Core::GroupName &, GroupState &, Core::Instant now);
+    void adoptFirstPrimary(const Core::GroupName &, const GroupState &, Core::Instant now);
+    [[nodiscard]] std::optional<Reason> reasonToReplace(const Core::GroupName &, const GroupState &,
+                                                        const Stored<PrimaryRecord> &,
+                                                        Core::Instant now) const;
+    [[nodiscard]] bool isFoundDead(const Core::GroupName &, const GroupState &,
+                                   Core::Instant now) const;
+    [[nodiscard]] PlanInputs planInputs(const Core::GroupName &, const GroupState &,
+                                        const PromotionPlan &, Core::Instant now) const;
+    [[nodiscard]] bool hasAdopted(const MemberRecord &, const Core::GroupName &, Revision) const;
+
+    void beat(Core::Instant now);
+    void sendTo(const MemberRecord &, Reply, Core::Instant now);
+    void sendToAll(Reply, Core::Instant now);
+    [[nodiscard]] Heartbeat makeHeartbeat(const MemberRecord &, Reply, Core::Instant now) const;
+    [[nodiscard]] std::map<Core::TeamName, double> demandToTell() const;
+    void log(std::string name, std::vector<std::pair<std::string, std::string>> fields = {});
+
+    FleetSettings self_;
+    FleetView view_;
+    PeerTable peers_;
+    std::map<Core::GroupName, GroupState> groups_;
+    std::map<Core::GroupName, PromotionPlan> plans_;
+    std::map<Core::TeamName, double> demand_;
+    std::uint64_t configurationVersion_ = 0;
+    std::vector<Action> actions_;
+    CallId nextCall_ = 1;
+    std::map<CallId, Record> writes_; ///< Those that are not answered yet.
+    CallId registration_ = 0; ///< The call that is not answered yet.
+    CallId leaderClaim_ = 0;
+    Core::Instant claimSentAt_;
+    Core::Instant registeredAt_;
+    Core::Instant startedAt_;
+    Core::Instant storeSeenAt_;      ///< When the newest answered question to the store was asked.
+    Core::Instant directorySeenAt_;
+    Core::Instant nextBeat_;
+    Core::Instant nextReview_;
+    std::map<Core::NodeName, Core::Instant> memberSince_; ///< Since when this proxy knows it.
+    std::map<Core::NodeName, Core::Instant> retiredSince_; ///< Since when it was seen as retired.
+    std::map<Core::GroupName, Core::Instant> firstPrimaryWrittenAt_;
+    bool isListed_ = false; ///< Whether the records were ever listed.
+    bool isLeaving_ = false;
+};
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -0,0 +1,251 @@
+#include <Fleet/FleetEngine.h>
+
+#include <Fleet/Timing.h>
+
+#include <algorithm>
+
+/// Membership, leadership, and what the leader does.
+namespace Chervilpin::Fleet {
+
+void FleetEngine::registerSelf(Core::Instant now)
+{
+    if (registration_ != 0)
+        return;
+    MemberRecord record{self_.node, self_.boot, self_.dataCentre, self_.address, false, {}};
+    for (const auto &[group, state] : groups_) {
+        if (state.released != 0)
+            record.adopted[group] = state.released;
+    }
+    const auto *known = view_.findMember(self_.node);
+    registration_ = nextCall_++;
+    registeredAt_ = now;
+    write(registration_, record, known ? known->revision : 0);
+}
+
+void FleetEngine::reviewMembership(Core::Instant now)
+{
+    for (const auto &[node, member] : view_.members())
+        memberSince_.try_emplace(node, now);
+    std::erase_if(memberSince_,
+                  [&](const auto &entry) { return !view_.findMember(entry.first); });
+    if (view_.isMember(self_.node, self_.boot))
+        return;
+    // A refused or unanswered registration shows in the records, and is tried again after a while.
+    const bool isDue = registeredAt_ == Core::Instant() || now >= registeredAt_ + beatInterval;
+    if (isDue)
+        registerSelf(now);
+}
+
+bool FleetEngine::isLeaderGone(Core::Instant now) const
+{
+    const auto &leader = view_.leader();
+    if (!leader)
+        return true;
+    const auto &record = leader->record;
+    if (record.node == self_.node)
+        return record.boot != self_.boot;
+    if (!view_.isMember(record.node, record.boot))
+        return true;
+    const auto *peer = peers_.find(record.node);
+    if (!peer || now >= peer->heardAt + peerSilence)
+        return now >= startedAt_ + peerSilence;
+    const auto &age = peer->last.confirmedAge;
+    return age && *age + (now - peer->heardAt) > leaderStoreSilence;
+}
+
+void FleetEngine::reviewLeadership(Core::Instant now)
+{
+    const bool hasStore = now < storeSeenAt_ + leaderStoreSilence;
+    if (isLeader() || leaderClaim_ != 0 || !hasStore || !view_.isMember(self_.node, self_.boot)
+        || !isLeaderGone(now)) {
+        if (!isLeaderGone(now))
+            claimSentAt_ = Core::Instant();
+        return;
+    }
+    if (claimSentAt_ == Core::Instant()) {
+        const auto rank = std::distance(view_.members().begin(), view_.members().find(self_.node));
+        claimSentAt_ = now + successionStep * rank;
+    }
+    if (now >= claimSentAt_)
+        claimLeadership(now);
+    else
+        nextReview_ = std::min(nextReview_, claimSentAt_);
+}
+
+void FleetEngine::claimLeadership(Core::Instant now)
+{
+    const auto &leader = view_.leader();
+    leaderClaim_ = nextCall_++;
+    claimSentAt_ = now + beatInterval;
+    write(leaderClaim_, LeaderRecord{self_.node, self_.boot}, leader ? leader->revision : 0);
+}
+
+void FleetEngine::lead(Core::Instant now)
+{
+    retireSilent(now);
+    for (auto &[group, state] : groups_)
+        reviewGroup(group, state, now);
+}
+
+void FleetEngine::retireSilent(Core::Instant now)
+{
+    if (now < startedAt_ + retireAfter)
+        return;
+    std::erase_if(retiredSince_, [&](const auto &entry) {
+        const auto *member = view_.findMember(entry.first);
+        return !member || !member->record.isRetired;
+    });
+    for (const auto &[node, member] : view_.members()) {
+        if (node == self_.node || peers_.isHeard(node, retireAfter, now)
+            || now < memberSince_[node] + retireAfter)
+            continue;
+        if (!member.record.isRetired) {
+            MemberRecord retired = member.record;
+            retired.isRetired = true;
+            memberSince_[node] = now;
+            log("member_retired", {{"node", node.value()}});
+            write(nextCall_++, retired, member.revision);
+            continue;
+        }
+        // Its rights were given before the mark was written, which was before it was seen.
+        const auto seen = retiredSince_.try_emplace(node, now).first->second;
+        if (now < seen + rightDuration + clockDrift)
+            continue;
+        retiredSince_[node] = now;
+        actions_.emplace_back(DeleteRecord{memberKey(node), member.revision});
+    }
+}
+
+void FleetEngine::reviewGroup(const Core::GroupName &group, GroupState &state, Core::Instant now)
+{
+    const auto *primary = view_.findPrimary(group);
+    if (!primary) {
+        adoptFirstPrimary(group, state, now);
+        return;
+    }
+    auto plan = plans_.find(group);
+    if (plan != plans_.end() && plan->second.isFinished()) {
+        plans_.erase(plan);
+        plan = plans_.end();
+    }
+    if (plan == plans_.end()) {
+        const auto reason = reasonToReplace(group, state, *primary, now);
+        if (!reason)
+            return;
+        plan = plans_.emplace(group, PromotionPlan(primary->record, primary->revision, *reason,
+                                                   self_.node))
+                   .first;
+    }
+    const auto inputs = planInputs(group, state, plan->second, now);
+    for (auto &action : plan->second.advance(inputs, nextCall_, now)) {
+        if (auto *change = std::get_if<WriteRecord>(&action))
+            write(change->id, std::move(change->record), change->expected);
+        else
+            actions_.push_back(std::move(action));
+    }
+    nextReview_ = std::min(nextReview_, plan->second.nextStepAt());
+}
+
+void FleetEngine::adoptFirstPrimary(const Core::GroupName &group, const GroupState &state,
+                                    Core::Instant now)
+{
+    const auto isPrimary = [](const auto &entry) {
+        return entry.role == Sessions::DatabaseRole::Primary;
+    };
+    if (std::ranges::count_if(state.databases, isPrimary) != 1)
+        return;
+    auto &sentAt = firstPrimaryWrittenAt_[group];
+    if (sentAt != Core::Instant() && now < sentAt + beatInterval)
+        return;
+    sentAt = now;
+    PrimaryRecord record;
+    record.group = group;
+    record.database = std::ranges::find_if(state.databases, isPrimary)->id;
+    record.writer = self_.node;
+    write(nextCall_++, record, 0);
+}
+
+std::optional<Reason> FleetEngine::reasonToReplace(const Core::GroupName &group,
+                                                   const GroupState &state,
+                                                   const Stored<PrimaryRecord> &primary,
+                                                   Core::Instant now) const
+{
+    if (state.databases.empty())
+        return {};
+    if (primary.record.phase == PrimaryPhase::Replacing)
+        return Reason::Failed;
+    const auto entry = std::ranges::find(state.databases, primary.record.database,
+                                         &Sessions::DatabaseEntry::id);
+    if (entry != state.databases.end()
+        && entry->availability == Sessions::DatabaseAvailability::Draining)
+        return Reason::Leaving;
+    if (entry == state.databases.end() && now >= directorySeenAt_ + directoryGrace)
+        return Reason::Failed;
+    if (isFoundDead(group, state, now))
+        return Reason::Failed;
+    return {};
+}
+
+bool FleetEngine::isFoundDead(const Core::GroupName &group, const GroupState &state,
+                              Core::Instant now) const
+{
+    std::size_t suspects = state.health == Health::Suspect ? 1 : 0;
+    std::size_t healthy = state.health == Health::Healthy ? 1 : 0;
+    for (const auto &[node, peer] : peers_.all()) {
+        if (now >= peer.heardAt + peerSilence || !view_.findMember(node))
+            continue;
+        const auto report = std::ranges::find(peer.last.primaries, group, &PrimaryReport::group);
+        if (report == peer.last.primaries.end() || report->revision != state.announced)
+            continue;
+        suspects += report->health == Health::Suspect ? 1 : 0;
+        healthy += report->health == Health::Healthy ? 1 : 0;
+    }
+    // A proxy that is cut from the primary is outvoted by those that aren't. Alone, a fleet of
+    // more than two proxies doesn't act on a single one's word.
+    const std::size_t least = std::min<std::size_t>(2, memberCount());
+    return suspects >= least && suspects > 2 * healthy;
+}
+
+bool FleetEngine::hasAdopted(const MemberRecord &member, const Core::GroupName &group,
+                             Revision revision) const
+{
+    if (member.node == self_.node)
+        return groups_.at(group).released >= revision;
+    const auto written = member.adopted.find(group);
+    if (written != member.adopted.end() && written->second >= revision)
+        return true;
+    const auto *peer = peers_.find(member.node);
+    if (!peer || peer->last.boot != member.boot)
+        return false;
+    const auto report = std::ranges::find(peer->last.primaries, group, &PrimaryReport::group);
+    return report != peer->last.primaries.end() && report->adopted >= revision;
+}
+
+PlanInputs FleetEngine::planInputs(const Core::GroupName &group, const GroupState &state,
+                                   const PromotionPlan &plan, Core::Instant now) const
+{
+    PlanInputs inputs;
+    inputs.highestMark = state.mark;
+    for (const auto &entry : state.databases) {
+        const bool isReady = entry.availability == Sessions::DatabaseAvailability::Ready;
+        if (isReady && entry.id != plan.old())
+            inputs.candidates.push_back(entry.id);
+    }
+    if (inputs.candidates.empty() && !state.databases.empty())
+        inputs.candidates.push_back(state.databases.front().id);
+    for (const auto &[node, peer] : peers_.all()) {
+        const auto report = std::ranges::find(peer.last.primaries, group, &PrimaryReport::group);
+        if (report != peer.last.primaries.end())
+            inputs.highestMark = std::max(inputs.highestMark, report->mark);
+    }
+    if (!plan.isClaimed())
+        return inputs;
+    const bool isLapsed = now >= plan.claimedAt() + rightDuration + clockDrift;
+    inputs.isFenced = isLapsed
+        || std::ranges::all_of(view_.members(), [&](const auto &entry) {
+                          return hasAdopted(entry.second.record, group, plan.claimRevision());
+                      });
+    return inputs;
+}
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/FleetView.cpp
@@ -0,0 +1,90 @@
+#include <Fleet/FleetView.h>
+
+#include <Core/Overloaded.h>
+
+#include <set>
+
+namespace Chervilpin::Fleet {
+
+std::vector<std::string> FleetView::replace(std::span<const StoredText> objects)
+{
+    // Primaries are never deleted, and another proxy may have told of a newer one than the list.
+    members_.clear();
+    leader_.reset();
+    return apply(objects);
+}
+
+std::vector<std::string> FleetView::apply(std::span<const StoredText> changes)
+{
+    std::vector<std::string> unreadable;
+    for (const auto &change : changes) {
+        if (change.isDeleted) {
+            remove(change.key, change.revision);
+            continue;
+        }
+        const auto record = decode(change.key, change.text);
+        if (record)
+            put(*record, change.revision);
+        else
+            unreadable.push_back(change.key);
+    }
+    return unreadable;
+}
+
+bool FleetView::learn(const Stored<PrimaryRecord> &primary)
+{
+    const auto *known = findPrimary(primary.record.group);
+    if (known && known->revision >= primary.revision)
+        return false;
+    primaries_[primary.record.group] = primary;
+    return true;
+}
+
+void FleetView::wrote(const Record &record, Revision revision)
+{
+    put(record, revision);
+}
+
+void FleetView::put(const Record &record, Revision revision)
+{
+    std::visit(Core::Overloaded{[&](const MemberRecord &member) {
+                                    auto &known = members_[member.node];
+                                    if (known.revision < revision)
+                                        known = {member, revision};
+                                },
+                                [&](const LeaderRecord &leader) {
+                                    if (!leader_ || leader_->revision < revision)
+                                        leader_ = {leader, revision};
+                                },
+                                [&](const PrimaryRecord &primary) { learn({primary, revision}); }},
+               record);
+}
+
+void FleetView::remove(const std::string &key, Revision revision)
+{
+    std::erase_if(members_, [&](const auto &entry) {
+        return memberKey(entry.first) == key && entry.second.revision <= revision;
+    });
+    if (leader_ && leaderKey() == key && leader_->revision <= revision)
+        leader_.reset();
+}
+
+const Stored<MemberRecord> *FleetView::findMember(const Core::NodeName &node) const
+{
+    const auto found = members_.find(node);
+    return found == members_.end() ? nullptr : &found->second;
+}
+
+const Stored<PrimaryRecord> *FleetView::findPrimary(const Core::GroupName &group) const
+{
+    const auto found = primaries_.find(group);
+    return found == primaries_.end() ? nullptr : &found->second;
+}
+
+bool FleetView::isMember(const Core::NodeName &node, Boot boot) const
+{
+    const auto *member = findMember(node);
+    return member && member->record.boot == boot && !member->record.isRetired;
+}
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/FleetView.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <Fleet/Records.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace Chervilpin::Fleet {
+
+/// An object as the store holds it.
+struct StoredText
+{
+    std::string key;
+    std::string text;
+    Revision revision = 0;
+    bool isDeleted = false;
+};
+
+/// The records as this proxy knows them from the store and from other proxies.
+class FleetView
+{
+public:
+    /// Takes over a complete list. Returns the keys whose text could not be read.
+    std::vector<std::string> replace(std::span<const StoredText>);
+    /// Takes over changes. Returns the keys whose text could not be read.
+    std::vector<std::string> apply(std::span<const StoredText>);
+    /// Takes over a primary that another proxy knows; false if it isn't newer.
+    bool learn(const Stored<PrimaryRecord> &);
+    /// Takes over a record that this proxy wrote.
+    void wrote(const Record &, Revision);
+
+    using Members = std::map<Core::NodeName, Stored<MemberRecord>>;
+    using Primaries = std::map<Core::GroupName, Stored<PrimaryRecord>>;
+
+    [[nodiscard]] const Members &members() const { return members_; }
+    [[nodiscard]] const Primaries &primaries() const { return primaries_; }
+    [[nodiscard]] const std::optional<Stored<LeaderRecord>> &leader() const { return leader_; }
+    [[nodiscard]] const Stored<MemberRecord> *findMember(const Core::NodeName &) const;
+    [[nodiscard]] const Stored<PrimaryRecord> *findPrimary(const Core::GroupName &) const;
+    /// Whether this life of the node is a member that may hold rights.
+    [[nodiscard]] bool isMember(const Core::NodeName &, Boot) const;
+
+private:
+    void put(const Record &, Revision);
+    void remove(const std::string &key, Revision);
+
+    Members members_;
+    Primaries primaries_;
+    std::optional<Stored<LeaderRecord>> leader_;
+};
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/Heartbeat.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Fleet/Records.h>
+#include <Sessions/Actions.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Chervilpin::Fleet {
+
+
+using Health = Sessions::PrimaryHealth;
+
+/// One group in a heartbeat.
+struct PrimaryReport
+{
+    Core::GroupName group;
+    Revision revision = 0;
+    Core::DatabaseName database;
+    PrimaryPhase phase = PrimaryPhase::Active;
+    Revision adopted = 0; ///< The sender uses no primary of an older record any more.
+    Health health = Health::Unknown;
+    Core::LogMark mark; ///< The highest that the sender saw of the group.
+};
+
+/// One message between two proxies. Instants are of the sender's clock, and only the sender
+/// compares them, when they come back as an echo.
+struct Heartbeat
+{
+    Core::NodeName node;
+    Boot boot = 0;
+    Core::Instant sentAt;
+
+    Boot echoBoot = 0;        ///< The receiver's boot in its last heartbeat; 0 if none came.
+    Core::Instant echoSentAt; ///< The receiver's sentAt in it.
+    Core::Duration echoHeld;  ///< How long ago it came.
+
+    std::optional<Core::Duration> confirmedAge; ///< Since the store confirmed the primaries below.
+    bool isReceiverMember = false; ///< Whether the receiver then was a member that isn't retired.
+    std::vector<PrimaryReport> primaries;
+    std::map<Core::TeamName, double> demand; ///< Operations per second; the leader sends the sums.
+    std::uint64_t configurationVersion = 0;
+    bool wantsReply = false;
+};
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/PeerTable.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Fleet/Heartbeat.h>
+
+#include <map>
+
+namespace Chervilpin::Fleet {
+
+/// What this proxy last heard of each other one.
+class PeerTable
+{
+public:
+    struct Peer
+    {
+        Heartbeat last;
+        Core::Instant heardAt;
+    };
+
+    /// False for a message of an earlier life, or one that was overtaken by a later one.
+    bool heard(const Heartbeat &, Core::Instant now);
+    void remove(const Core::NodeName &node) { peers_.erase(node); }
+
+    [[nodiscard]] const Peer *find(const Core::NodeName &) const;
+    /// Whether this life of the node was heard within \a span.
+    [[nodiscard]] bool isHeard(const Core::NodeName &, Core::Duration span,
+                               Core::Instant now) const;
+    [[nodiscard]] const std::map<Core::NodeName, Peer> &all() const { return peers_; }
+
+private:
+    std::map<Core::NodeName, Peer> peers_;
+};
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -0,0 +1,246 @@
+#include <Fleet/PromotionPlan.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Fleet {
+
+using namespace Core::Literals;
+
+namespace {
+
+/// Between two questions to a database; a promotion takes hundreds of milliseconds.
+constexpr Core::Duration statusInterval = 60_ms;
+/// Statuses that come later than this are not waited for. A database that answers takes tens of
+/// milliseconds.
+constexpr Core::Duration statusWait = 300_ms;
+/// How long a leaving primary's last commits may take to reach the candidate.
+constexpr Core::Duration catchUpWait = 1'500_ms;
+/// A call that wasn't answered after this is made again.
+constexpr Core::Duration callWait = 1'500_ms;
+/// An order is given only this long after the claim was sent. Older claims are renewed first, so
+/// that a leader that was paused can't order with a token which others have passed.
+constexpr Core::Duration claimFreshness = 1'000_ms;
+/// An accepted order that shows no effect after this is given again.
+constexpr Core::Duration takeOverWait = 4'000_ms;
+
+} // namespace
+
+const char *toString(Reason reason)
+{
+    return reason == Reason::Failed ? "failed" : "leaving";
+}
+
+PromotionPlan::PromotionPlan(PrimaryRecord old, Revision revision, Reason reason,
+                             Core::NodeName self)
+    : record_(std::move(old))
+    , revision_(revision)
+    , reason_(reason)
+    , self_(std::move(self))
+    , attempt_(record_.attempt)
+{ }
+
+std::vector<Action> PromotionPlan::advance(const PlanInputs &inputs, CallId &nextCall,
+                                           Core::Instant now)
+{
+    nextStepAt_ = now + statusInterval;
+    if (call_ != 0 && now < callSentAt_ + callWait)
+        return {};
+    call_ = 0;
+    switch (step_) {
+    case Step::Claim:
+        return claim(nextCall, now);
+    case Step::Fence:
+        if (!inputs.isFenced)
+            return askAll(inputs, now);
+        chooseSince_ = now;
+        step_ = Step::Choose;
+        [[fallthrough]];
+    case Step::Choose:
+        return choose(inputs, nextCall, now);
+    case Step::Order:
+        return order(nextCall, now);
+    case Step::Verify:
+        return verify(now);
+    case Step::Publish:
+        return publish(nextCall, now);
+    case Step::Finished:
+        break;
+    }
+    return {};
+}
+
+std::vector<Action> PromotionPlan::claim(CallId &nextCall, Core::Instant now)
+{
+    PrimaryRecord claimed = record_;
+    claimed.phase = PrimaryPhase::Replacing;
+    claimed.writer = self_;
+    claimed.attempt = ++attempt_;
+    call_ = nextCall++;
+    callSentAt_ = now;
+    claimSentAt_ = now;
+    return {event("promotion_claim"), WriteRecord{call_, claimed, revision_}};
+}
+
+std::vector<Action> PromotionPlan::askAll(const PlanInputs &inputs, Core::Instant now)
+{
+    if (now < askedAt_ + statusInterval)
+        return {};
+    askedAt_ = now;
+    std::vector<Action> actions;
+    for (const auto &database : inputs.candidates)
+        actions.emplace_back(AskStatus{record_.group, database});
+    return actions;
+}
+
+std::optional<Core::DatabaseName> PromotionPlan::best(const PlanInputs &inputs) const
+{
+    std::optional<Core::DatabaseName> best;
+    Core::LogMark highest;
+    for (const auto &database : inputs.candidates) {
+        const auto status = statuses_.find(database);
+        if (status == statuses_.end() || notRunning_.contains(database))
+            continue;
+        if (best && status->second.received <= highest)
+            continue;
+        best = database;
+        highest = status->second.received;
+    }
+    return best;
+}
+
+bool PromotionPlan::mayOrder(const PlanInputs &inputs, Core::Instant now) const
+{
+    const auto candidate = best(inputs);
+    if (!candidate)
+        return false;
+    if (reason_ == Reason::Leaving && now < chooseSince_ + catchUpWait)
+        return statuses_.at(*candidate).received >= inputs.highestMark;
+    const bool isAllKnown = std::ranges::all_of(inputs.candidates, [&](const auto &database) {
+        return statuses_.contains(database) || notRunning_.contains(database);
+    });
+    return isAllKnown || now >= chooseSince_ + statusWait;
+}
+
+std::vector<Action> PromotionPlan::choose(const PlanInputs &inputs, CallId &nextCall,
+                                          Core::Instant now)
+{
+    if (!mayOrder(inputs, now)) {
+        // All that could be asked refused the order; perhaps one of them runs again by now.
+        if (!inputs.candidates.empty() && notRunning_.size() >= inputs.candidates.size())
+            notRunning_.clear();
+        return askAll(inputs, now);
+    }
+    candidate_ = *best(inputs);
+    step_ = Step::Order;
+    return order(nextCall, now);
+}
+
+std::vector<Action> PromotionPlan::order(CallId &nextCall, Core::Instant now)
+{
+    if (now > claimSentAt_ + claimFreshness)
+        return claim(nextCall, now);
+    call_ = nextCall++;
+    callSentAt_ = now;
+    Event ordered = event("promotion_order");
+    ordered.fields.emplace_back("candidate", candidate_.value());
+    ordered.fields.emplace_back("token", std::to_string(claimRevision_));
+    return {ordered, OrderPromotion{call_, record_.group, candidate_, claimRevision_}};
+}
+
+std::vector<Action> PromotionPlan::verify(Core::Instant now)
+{
+    if (now > callSentAt_ + takeOverWait) {
+        step_ = Step::Order;
+        nextStepAt_ = now;
+        return {};
+    }
+    return {AskStatus{record_.group, candidate_}};
+}
+
+std::vector<Action> PromotionPlan::publish(CallId &nextCall, Core::Instant now)
+{
+    PrimaryRecord active = record_;
+    active.database = candidate_;
+    active.phase = PrimaryPhase::Active;
+    active.writer = self_;
+    active.attempt = ++attempt_;
+    call_ = nextCall++;
+    callSentAt_ = now;
+    return {event("promotion_publish"), WriteRecord{call_, active, revision_}};
+}
+
+void PromotionPlan::writeEnded(CallId call, WriteOutcome outcome, Revision revision,
+                               Core::Instant now)
+{
+    if (call != call_)
+        return;
+    if (outcome == WriteOutcome::Unknown) {
+        // Made again after a moment. If it was done after all, the next is a conflict, and the
+        // leader starts a new plan from what the store then says.
+        nextStepAt_ = now + statusInterval;
+        call_ = 0;
+        return;
+    }
+    call_ = 0;
+    nextStepAt_ = now;
+    if (outcome == WriteOutcome::Conflict) {
+        step_ = Step::Finished;
+        return;
+    }
+    revision_ = revision;
+    if (step_ == Step::Publish) {
+        step_ = Step::Finished;
+        return;
+    }
+    claimRevision_ = revision;
+    if (fenceRevision_ == 0) {
+        fenceRevision_ = revision;
+        fencedFrom_ = now;
+    }
+    if (step_ == Step::Claim)
+        step_ = Step::Fence;
+}
+
+void PromotionPlan::orderEnded(CallId call, OrderOutcome outcome, Core::Instant now)
+{
+    if (call != call_)
+        return;
+    call_ = 0;
+    nextStepAt_ = now;
+    if (outcome == OrderOutcome::Accepted) {
+        step_ = Step::Verify;
+        callSentAt_ = now;
+        nextStepAt_ = now + statusInterval;
+        return;
+    }
+    nextStepAt_ = now + statusInterval;
+    if (outcome == OrderOutcome::NotRunning) {
+        notRunning_.insert(candidate_);
+        statuses_.erase(candidate_);
+        chooseSince_ = now;
+        step_ = Step::Choose;
+    }
+}
+
+void PromotionPlan::statusAnswered(const Core::DatabaseName &database,
+                                   const Sessions::DatabaseStatus &status, Core::Instant now)
+{
+    statuses_[database] = status;
+    const bool isOrdered = step_ == Step::Verify || (step_ == Step::Order && claimRevision_ != 0);
+    if (!isOrdered || database != candidate_ || status.role != Sessions::DatabaseRole::Primary)
+        return;
+    call_ = 0;
+    step_ = Step::Publish;
+    nextStepAt_ = now;
+}
+
+Event PromotionPlan::event(const char *name) const
+{
+    return {name,
+            {{"group", record_.group.value()},
+             {"old", record_.database.value()},
+             {"reason", toString(reason_)},
+             {"revision", std::to_string(revision_)}}};
+}
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/Records.cpp
@@ -0,0 +1,136 @@
+#include <Fleet/Records.h>
+
+#include <Core/Overloaded.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace Chervilpin::Fleet {
+
+namespace json = boost::json;
+using Core::ErrorCode;
+using Core::failure;
+
+namespace {
+
+constexpr std::string_view memberPrefix = "member.";
+constexpr std::string_view primaryPrefix = "primary.";
+constexpr std::string_view leaderName = "leader";
+
+json::object toJson(const MemberRecord &record)
+{
+    json::object adopted;
+    for (const auto &[group, revision] : record.adopted)
+        adopted[group.value()] = revision;
+    return {{"node", record.node.value()},
+            {"boot", record.boot},
+            {"data_centre", record.dataCentre.value()},
+            {"address", record.address},
+            {"retired", record.isRetired},
+            {"adopted", std::move(adopted)}};
+}
+
+json::object toJson(const LeaderRecord &record)
+{
+    return {{"node", record.node.value()}, {"boot", record.boot}};
+}
+
+json::object toJson(const PrimaryRecord &record)
+{
+    return {{"group", record.group.value()},
+            {"database", record.database.value()},
+            {"phase", record.phase == PrimaryPhase::Active ? "active" : "replacing"},
+            {"writer", record.writer.value()},
+            {"attempt", record.attempt}};
+}
+
+std::string text(const json::object &object, std::string_view name)
+{
+    return json::value_to<std::string>(object.at(name));
+}
+
+MemberRecord readMember(const json::object &object)
+{
+    MemberRecord record;
+    record.node = Core::NodeName(text(object, "node"));
+    record.boot = object.at("boot").to_number<Boot>();
+    record.dataCentre = Core::DataCentreName(text(object, "data_centre"));
+    record.address = text(object, "address");
+    record.isRetired = object.at("retired").as_bool();
+    for (const auto &[group, revision] : object.at("adopted").as_object())
+        record.adopted[Core::GroupName(std::string_view(group))] = revision.to_number<Revision>();
+    return record;
+}
+
+LeaderRecord readLeader(const json::object &object)
+{
+    return {Core::NodeName(text(object, "node")), object.at("boot").to_number<Boot>()};
+}
+
+PrimaryRecord readPrimary(const json::object &object)
+{
+    PrimaryRecord record;
+    record.group = Core::GroupName(text(object, "group"));
+    record.database = Core::DatabaseName(text(object, "database"));
+    record.phase =
+        text(object, "phase") == "active" ? PrimaryPhase::Active : PrimaryPhase::Replacing;
+    record.writer = Core::NodeName(text(object, "writer"));
+    record.attempt = object.at("attempt").to_number<std::uint64_t>();
+    return record;
+}
+
+} // namespace
+
+std::string memberKey(const Core::NodeName &node)
+{
+    return std::string(memberPrefix) + node.value();
+}
+
+std::string primaryKey(const Core::GroupName &group)
+{
+    return std::string(primaryPrefix) + group.value();
+}
+
+std::string leaderKey()
+{
+    return std::string(leaderName);
+}
+
+std::string keyOf(const Record &record)
+{
+    return std::visit(
+        Core::Overloaded{[](const MemberRecord &member) { return memberKey(member.node); },
+                         [](const LeaderRecord &) { return leaderKey(); },
+                         [](const PrimaryRecord &primary) { return primaryKey(primary.group); }},
+        record);
+}
+
+std::string encode(const Record &record)
+{
+    return json::serialize(std::visit([](const auto &value) { return toJson(value); }, record));
+}
+
+Core::ErrorOr<Record> decode(std::string_view key, std::string_view body)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(body, error);
+    if (error)
+        return failure(ErrorCode::InvalidArgument, "the record is no JSON: " + error.message());
+    try {
+        const json::object &object = value.as_object();
+        if (key == leaderName)
+            return readLeader(object);
+        if (key.starts_with(memberPrefix))
+            return readMember(object);
+        if (key.starts_with(primaryPrefix))
+            return readPrimary(object);
+    } catch (const std::exception &problem) {
+        return failure(ErrorCode::InvalidArgument,
+                       std::string("the record lacks a field: ") + problem.what());
+    }
+    return failure(ErrorCode::InvalidArgument, "no record has this name");
+}
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/StoreFeed.cpp
@@ -0,0 +1,67 @@
+#include <Fleet/StoreFeed.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Fleet {
+
+namespace {
+
+/// How long a call may take beside its own wait. The store answers in 4 ms, and at times a hundred
+/// times slower.
+constexpr Core::Duration answerTime{1'200};
+constexpr Core::Duration firstDelay{150};
+/// Bounds the calls that an unreachable store is charged with, and how late its return is noticed.
+constexpr Core::Duration longestDelay{600};
+
+} // namespace
+
+StoreFeed::StoreFeed(Core::Duration wait)
+    : wait_(wait)
+{ }
+
+StoreFeed::Call StoreFeed::next() const
+{
+    if (isListing_)
+        return List{after_};
+    return Watch{since_, wait_};
+}
+
+Core::Duration StoreFeed::timeout() const
+{
+    return isListing_ ? answerTime : wait_ + answerTime;
+}
+
+StoreFeed::Position StoreFeed::listed(std::string lastName, bool hasMore, Revision storeRevision)
+{
+    delay_ = {};
+    // Changes made between two pages are seen by the watch, which starts from the first page.
+    if (after_.empty())
+        since_ = storeRevision;
+    if (hasMore) {
+        after_ = std::move(lastName);
+        return Position::Partial;
+    }
+    after_.clear();
+    isListing_ = false;
+    return Position::Complete;
+}
+
+void StoreFeed::changed(Revision storeRevision)
+{
+    delay_ = {};
+    since_ = storeRevision;
+}
+
+void StoreFeed::restart()
+{
+    isListing_ = true;
+    after_.clear();
+}
+
+void StoreFeed::failed()
+{
+    after_.clear();
+    delay_ = delay_ == Core::Duration() ? firstDelay : std::min(delay_ * 2, longestDelay);
+}
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/StoreFeed.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Fleet/Records.h>
+
+#include <string>
+#include <variant>
+
+namespace Chervilpin::Fleet {
+
+/// Follows one kind of objects in the store: lists it, then watches it, and lists it again when
+/// the store has dropped the history. Decides which call comes next, and when.
+class StoreFeed
+{
+public:
+    struct List
+    {
+        std::string after; ///< The last name of the page before, or empty.
+    };
+
+    struct Watch
+    {
+        Revision since = 0;
+        Core::Duration wait;
+    };
+
+    using Call = std::variant<List, Watch>;
+
+    /// \a wait bounds how long a watch is quiet; a hung watch is found out a little later.
+    explicit StoreFeed(Core::Duration wait);
+
+    /// The call to make now.
+    [[nodiscard]] Call next() const;
+    /// How long to wait before it, after a failure.
+    [[nodiscard]] Core::Duration delay() const { return delay_; }
+    /// How long its answer may take.
+    [[nodiscard]] Core::Duration timeout() const;
+
+    enum class Position {
+        Partial, ///< More pages of a list follow.
+        Complete,
+    };
+
+    /// A page of a list came.
+    Position listed(std::string lastName, bool hasMore, Revision storeRevision);
+    void changed(Revision storeRevision);
+    /// The history is gone, or something newer than this feed is known to exist.
+    void restart();
+    void failed();
+
+private:
+    Core::Duration wait_;
+    Core::Duration delay_;
+    bool isListing_ = true;
+    std::string after_;
+    Revision since_ = 0;
+};
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/Timing.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+
+namespace Chervilpin::Fleet {
+
+/// Between two heartbeats to the same proxy without news. Keeps control traffic far below the
+/// 2 KB/s that a node may spend.
+constexpr Core::Duration beatInterval{1'000};
+/// A proxy that isn't heard for this long is taken as out of reach: two lost heartbeats.
+constexpr Core::Duration peerSilence{2'600};
+/// A leader that had no contact with the store for this long is replaced if another has it. Longer
+/// than the longest wait of a watch, after which a healthy leader always has contact.
+constexpr Core::Duration leaderStoreSilence{4'500};
+/// A member that the leader didn't hear for this long is marked as retired. Longer than the usual
+/// restart of a process.
+constexpr Core::Duration retireAfter{6'000};
+/// How often conditions are looked at for which nothing else wakes this proxy.
+constexpr Core::Duration reviewInterval{250};
+/// Successors of a leader try one after the other, this far apart, by the order of their names.
+constexpr Core::Duration successionStep{150};
+/// A primary that left the directory is replaced after this, in which its entry could come back
+/// after an outage of the store: the users' pages promise about two seconds.
+constexpr Core::Duration directoryGrace{2'500};
+/// Added to the time that a right may last, for clocks that run at different speeds.
+constexpr Core::Duration clockDrift{200};
+
+} // namespace Chervilpin::Fleet
--- a/Libraries/Http/Client.cpp
+++ b/Libraries/Http/Client.cpp
@@ -44,13 +44,16 @@
 {
 public:
     using Release = std::function<void(std::unique_ptr<beast::tcp_stream>)>;
+    /// Called when a connection failed; others that were kept may be as silent.
+    using Distrust = std::function<void()>;
 
     Exchange(std::unique_ptr<beast::tcp_stream> stream, Request request, Core::Duration timeout,
-             Client::Completion completion, Release release)
+             Client::Completion completion, Release release, Distrust distrust)
         : stream_(std::move(stream))
         , timeout_(timeout)
         , completion_(std::move(completion))
         , release_(std::move(release))
+        , distrust_(std::move(distrust))
     {
         message_.method_string(request.method);
         message_.target(request.target);
@@ -125,6 +128,7 @@
     void fail(ErrorCode code, beast::error_code error)
     {
         stream_->close();
+        distrust_();
         completion_(failure(code, error.message()));
     }
 
@@ -135,6 +139,7 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     Client::Completion completion_;
     Release release_;
+    Distrust distrust_;
 };
 
 /// Whether the server has neither closed the idle connection nor sent anything on it.
@@ -172,8 +177,12 @@
         if (state && state->idle.size() < maximumIdleConnections)
             state->idle.push_back(std::move(kept));
     };
+    auto distrust = [weak = std::weak_ptr<State>(state_)] {
+        if (const auto state = weak.lock())
+            state->idle.clear();
+    };
     std::make_shared<Exchange>(std::move(stream), std::move(request), timeout,
-                               std::move(completion), std::move(release))
+                               std::move(completion), std::move(release), std::move(distrust))
         ->start(state_->endpoint);
 }
 
--- a/Libraries/Observe/Log.cpp
+++ b/Libraries/Observe/Log.cpp
@@ -1,5 +1,7 @@
 #include <Observe/Log.h>
 
+#include <Observe/LineWriter.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/json/serialize.hpp>
@@ -8,13 +10,17 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <cctype>
 #include <iostream>
+#include <unistd.h>
 
 namespace Chervilpin::Observe {
 
@@ -73,17 +79,58 @@
     return boost::json::serialize(boost::json::value(boost::json::string(value)));
 }
 
-void initializeLog(std::string_view program, std::string_view node, Severity minimum)
+namespace {
+
+LineWriter &standardOutput()
+{
+    static LineWriter writer(STDOUT_FILENO);
+    return writer;
+}
+
+/// Hands formatted lines to a LineWriter.
+class LineBackend
+    : public logging::sinks::basic_formatted_sink_backend<char,
+                                                          logging::sinks::synchronized_feeding>
+{
+public:
+    static void consume(const logging::record_view &, const std::string &line)
+    {
+        standardOutput().write(line);
+    }
+};
+
+} // namespace
+
+void flushLog()
+{
+    standardOutput().flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return standardOutput().droppedLines();
+}
+
+void initializeLog(std::string_view program, std::string_view node, Severity minimum,
+                   LogTarget target)
 {
     const std::string origin =
         " program=" + logValue(program) + " node=" + logValue(node.empty() ? "-" : node);
     logging::add_common_attributes();
-    logging::add_console_log(std::clog, logging::keywords::auto_flush = true,
-                             logging::keywords::format = expressions::stream
-                                 << "time="
-                                 << expressions::format_date_time<boost::posix_time::ptime>(
-                                                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                                 << origin << " " << expressions::smessage);
+    const auto format = expressions::stream
+        << "time="
+        << expressions::format_date_time<boost::posix_time::ptime>("TimeStamp",
+                                                                   "%Y-%m-%dT%H:%M:%S.%f")
+        << origin << " " << expressions::smessage;
+    if (target == LogTarget::StandardOutput) {
+        using Sink = logging::sinks::synchronous_sink<LineBackend>;
+        const auto sink = boost::make_shared<Sink>();
+        sink->set_formatter(format);
+        logging::core::get()->add_sink(sink);
+    } else {
+        logging::add_console_log(std::clog, logging::keywords::auto_flush = true,
+                                 logging::keywords::format = format);
+    }
     logging::core::get()->set_filter(expressions::attr<Severity>("Severity") >= minimum);
 }
 
--- a/Libraries/Observe/Log.h
+++ b/Libraries/Observe/Log.h
@@ -2,6 +2,7 @@
 
 #include <Core/Result.h>
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -27,8 +28,20 @@
     std::string value;
 };
 
-/// Sends every event of at least \a minimum to standard error, a line each.
-void initializeLog(std::string_view program, std::string_view node, Severity minimum);
+enum class LogTarget {
+    StandardError,  ///< Waits for the reader.
+    StandardOutput, ///< Never waits; lines are dropped and counted while the reader is behind.
+};
+
+/// Sends every event of at least \a minimum to the target, a line each.
+void initializeLog(std::string_view program, std::string_view node, Severity minimum,
+                   LogTarget target = LogTarget::StandardError);
+
+/// Writes out what is kept back, as far as the reader takes it at once.
+void flushLog();
+
+/// Lines that were dropped because the reader was behind.
+[[nodiscard]] std::uint64_t droppedLogLines();
 
 /// Writes one event as `time=… level=… program=… node=… event=… key=value …`.
 ///
--- /dev/null
+++ b/Libraries/Sessions/Actions.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Sessions/Statement.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// What the session engine asks of the shell around it.
+namespace Chervilpin::Sessions {
+
+using SessionId = std::uint64_t;    ///< A caller's connection; never used twice.
+using ConnectionId = std::uint64_t; ///< A database connection; never used twice.
+
+/// Tells a caller that its session is open.
+struct AcceptSession
+{
+    SessionId session = 0;
+};
+
+/// The whole answer to one statement of a caller.
+struct AnswerSession
+{
+    SessionId session = 0;
+    std::string body; ///< The database's rows and completion; empty if the proxy answers itself.
+    std::optional<Failure> failure;
+    std::string text; ///< Of the failure.
+    TransactionState state = TransactionState::None;
+    std::optional<Core::LogMark> mark;
+};
+
+/// Closes a caller's connection, after an error if there is one.
+struct EndSession
+{
+    SessionId session = 0;
+    std::optional<Failure> failure;
+    std::string text;
+};
+
+struct OpenConnection
+{
+    ConnectionId connection = 0;
+    Core::GroupName group;
+    Core::DatabaseName database;
+    std::string address; ///< IP:port.
+    Core::TeamName team; ///< On whose behalf; empty on routes open to all.
+};
+
+/// Closes a connection, open or opening, so that nothing still under way reaches the database.
+struct CloseConnection
+{
+    ConnectionId connection = 0;
+};
+
+struct SendStatement
+{
+    ConnectionId connection = 0;
+    Statement statement;
+    std::optional<Core::LogMark> atLeast; ///< The database must hold this, or refuse.
+};
+
+/// What this proxy sees of a group's primary in the answers that it gets.
+enum class PrimaryHealth {
+    Unknown, ///< It asked nothing lately.
+    Healthy,
+    Suspect, ///< The database neither answers nor takes connections.
+};
+
+struct ReportHealth
+{
+    Core::GroupName group;
+    PrimaryHealth health = PrimaryHealth::Unknown;
+    Core::LogMark mark; ///< The highest seen.
+};
+
+/// Nothing is in flight any more at primaries of records older than the revision.
+struct ReportReleased
+{
+    Core::GroupName group;
+    std::uint64_t revision = 0;
+};
+
+/// The answer to askStatus().
+struct ReportStatus
+{
+    Core::DatabaseName database;
+    DatabaseStatus status;
+};
+
+enum class Importance {
+    Sampled, ///< May be left out when there are many.
+    Always,
+};
+
+/// A line for the log.
+struct LogLine
+{
+    Importance importance = Importance::Always;
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+/// One operation statement that ended; for counters and histograms.
+struct CountOutcome
+{
+    std::string outcome; ///< `done`, or the failure's name.
+    bool isOnReplica = false;
+    bool isRead = false;
+    Core::Duration time;   ///< From its arrival to its answer.
+    Core::Duration queued; ///< Of that, until it was sent first.
+};
+
+using Action = std::variant<AcceptSession, AnswerSession, EndSession, OpenConnection,
+                            CloseConnection, SendStatement, ReportHealth, ReportReleased,
+                            ReportStatus, LogLine, CountOutcome>;
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/Database.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <Core/LogMark.h>
+#include <Core/Milliseconds.h>
+#include <Sessions/Actions.h>
+#include <Sessions/FreshnessLedger.h>
+#include <Sessions/RoutingTable.h>
+#include <Sessions/SessionState.h>
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Chervilpin::Sessions {
+
+/// What an answer that a connection owes is for.
+enum class Purpose {
+    Setup,   ///< Brings the connection to a session's state.
+    Begin,   ///< Starts a transaction.
+    Caller,  ///< A caller's own statement.
+    Cleanup, ///< Rolls back what a caller left.
+    Status,
+};
+
+/// One connection to a database.
+struct Connection
+{
+    enum class State {
+        Opening,
+        Idle,
+        Lent,     ///< To a session, for a statement or a transaction.
+        Cleaning, ///< Its session is gone; its transaction is being rolled back.
+    };
+
+    struct Owed
+    {
+        Purpose purpose = Purpose::Caller;
+        Core::Instant sentAt;
+    };
+
+    ConnectionId id = 0;
+    Core::GroupName group;
+    Core::DatabaseName database;
+    Core::TeamName team;
+    State state = State::Opening;
+    ConnectionContext context;
+    std::deque<Owed> owed;
+    SessionId session = 0;
+    bool isInTransaction = false;
+    Core::Instant since; ///< Of the state.
+    Core::Instant openedAt;
+};
+
+/// What this proxy knows and holds of one database.
+struct Database
+{
+    DatabaseEntry entry;
+    std::set<ConnectionId> connections;
+    Core::LogMark known;       ///< The end of its log, as last seen.
+    Core::Duration lag;        ///< How old the state was that it last showed.
+    unsigned outstanding = 0;  ///< Statements that take a slot and aren't answered.
+    double serviceMilliseconds = 0; ///< From sending to answer, smoothed.
+    Core::Instant lastReply;
+    Core::Instant troubleSince; ///< Of connections that failed, without an answer since.
+    unsigned failures = 0;      ///< Since then.
+    Core::Instant openAfter;    ///< No new connection is opened before.
+    bool isGone = false;        ///< Not listed any more; kept while connections are lent.
+};
+
+/// What this proxy knows of a group of databases.
+struct Group
+{
+    Core::GroupName name;
+    std::vector<Core::DatabaseName> databases;
+    FreshnessLedger freshness;
+
+    std::uint64_t revision = 0; ///< Of the record that names the primary.
+    Core::DatabaseName primary;
+    bool isPrimaryActive = false;
+    Core::Instant rightUntil;
+    std::uint64_t released = 0;    ///< The revision that was reported as released.
+    Core::Instant releaseBy;       ///< When what is still in flight at an old primary is cut.
+    Core::DatabaseName oldPrimary; ///< Until released.
+    Core::Instant oldRightUntil;
+    Core::Instant primarySince;   ///< When this proxy learned of the present primary.
+    bool isLapseHandled = false;  ///< What was in flight when the right ended has been cut.
+
+    Core::LogMark highestMark;
+    PrimaryHealth health = PrimaryHealth::Unknown;
+    std::vector<SessionId> queue; ///< By priority, then by arrival.
+
+    [[nodiscard]] bool mayUsePrimary(Core::Instant now) const
+    {
+        return isPrimaryActive && now < rightUntil;
+    }
+    /// Whether a success of this database may be passed on as one of the primary.
+    [[nodiscard]] bool mayConfirm(const Core::DatabaseName &database, Core::Instant now) const
+    {
+        if (database == primary && mayUsePrimary(now))
+            return true;
+        return released < revision && database == oldPrimary && now < oldRightUntil;
+    }
+};
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -0,0 +1,408 @@
+#include <Sessions/SessionEngine.h>
+
+#include <Sessions/Timing.h>
+
+#include <algorithm>
+#include <limits>
+
+/// What the control plane tells, and what time brings.
+namespace Chervilpin::Sessions {
+
+SessionEngine::SessionEngine(Core::DataCentreName dataCentre, Core::Instant now)
+    : dataCentre_(std::move(dataCentre))
+    , reviewAt_(now)
+{ }
+
+void SessionEngine::configure(RoutingTablePointer table, Core::Instant now)
+{
+    table_ = std::move(table);
+    for (const auto &[team, limits] : table_->teams)
+        rates_[team].setLimits(limits, now);
+    std::erase_if(rates_, [&](const auto &entry) { return !table_->teams.contains(entry.first); });
+    for (const auto &[name, limits] : table_->groups)
+        groups_[name].name = name;
+    for (auto &[id, session] : sessions_) {
+        if (session.isEnding)
+            continue;
+        const auto route = table_->findRoute(session.databaseName);
+        const auto *team = table_->findTeam(session.key);
+        const bool isServed =
+            route && (route->isOpenToAll || (team && *team == session.team));
+        if (isServed)
+            continue;
+        if (!session.running && session.transaction == TransactionStage::None) {
+            end(session, {}, {});
+            continue;
+        }
+        session.isEnding = true;
+        session.endBy = now + withdrawnTransactionTime;
+        wakeAt(id, *session.endBy);
+    }
+    log(Importance::Always, "configuration_in_force",
+        {{"version", std::to_string(table_->version)},
+         {"routes", std::to_string(table_->routes.size())},
+         {"keys", std::to_string(table_->keys.size())}});
+}
+
+void SessionEngine::directoryChanged(std::span<const DatabaseEntry> entries, Core::Instant now)
+{
+    for (auto &[name, database] : databases_)
+        database.isGone = true;
+    std::vector<ConnectionId> reborn;
+    for (const auto &entry : entries) {
+        Database &database = databases_[entry.id];
+        const bool isNew = database.entry.bornMilliseconds != entry.bornMilliseconds
+            || database.entry.address != entry.address;
+        if (isNew) {
+            reborn.insert(reborn.end(), database.connections.begin(), database.connections.end());
+            database.known = {};
+            database.lag = {};
+        }
+        database.entry = entry;
+        database.isGone = false;
+    }
+    for (auto &[name, group] : groups_)
+        group.databases.clear();
+    for (const auto &[name, database] : databases_) {
+        Group &group = groups_[database.entry.group];
+        group.name = database.entry.group;
+        if (!database.isGone)
+            group.databases.push_back(name);
+    }
+    for (const ConnectionId id : reborn)
+        drop(id, now);
+    std::erase_if(databases_, [](const auto &entry) {
+        return entry.second.isGone && entry.second.connections.empty();
+    });
+    scheduleReview(now);
+}
+
+void SessionEngine::grantPrimary(const PrimaryGrant &grant, Core::Instant now)
+{
+    Group &group = groups_[grant.group];
+    group.name = grant.group;
+    if (grant.revision < group.revision)
+        return;
+    if (grant.revision > group.revision) {
+        if (group.isPrimaryActive && group.released == group.revision) {
+            group.oldPrimary = group.primary;
+            group.oldRightUntil = group.rightUntil;
+            const bool isDead = group.health == PrimaryHealth::Suspect;
+            group.releaseBy = isDead ? now : now + replaceGrace;
+        }
+        if (group.primary != grant.database || !group.isPrimaryActive)
+            group.primarySince = now;
+        group.revision = grant.revision;
+        group.primary = grant.database;
+        group.isPrimaryActive = grant.isActive;
+        group.health = PrimaryHealth::Unknown;
+    }
+    group.rightUntil = grant.validUntil;
+    if (group.mayUsePrimary(now))
+        group.isLapseHandled = false;
+    releaseOldPrimary(group, now);
+    if (!group.queue.empty())
+        dispatch(group, now);
+    if (group.isPrimaryActive)
+        scheduleReview(std::max(now, group.rightUntil));
+}
+
+void SessionEngine::releaseOldPrimary(Group &group, Core::Instant now)
+{
+    if (group.released >= group.revision)
+        return;
+    const bool isSame = group.isPrimaryActive && group.oldPrimary == group.primary;
+    const bool isInUse = !isSame
+        && std::ranges::any_of(connections_, [&](const auto &entry) {
+                             const Connection &connection = entry.second;
+                             return connection.database == group.oldPrimary
+                                 && connection.state != Connection::State::Idle
+                                 && connection.state != Connection::State::Opening;
+                         });
+    if (isInUse) {
+        scheduleReview(std::max(now, group.releaseBy));
+        return;
+    }
+    group.released = group.revision;
+    group.oldPrimary = {};
+    actions_.emplace_back(ReportHealth{group.name, group.health, group.highestMark});
+    actions_.emplace_back(ReportReleased{group.name, group.revision});
+}
+
+void SessionEngine::cutDatabase(const Core::DatabaseName &name, const char *why, Core::Instant now)
+{
+    Database *database = findDatabase(name);
+    if (!database)
+        return;
+    std::vector<ConnectionId> busy;
+    for (const ConnectionId id : database->connections) {
+        const auto state = connections_.at(id).state;
+        if (state != Connection::State::Idle && state != Connection::State::Opening)
+            busy.push_back(id);
+    }
+    log(Importance::Always, "database_cut",
+        {{"database", name.value()}, {"why", why}, {"connections", std::to_string(busy.size())}});
+    for (const ConnectionId id : busy) {
+        if (findConnection(id))
+            drop(id, now);
+    }
+}
+
+void SessionEngine::setMemberCount(std::size_t count, Core::Instant)
+{
+    memberCount_ = std::max<std::size_t>(1, count);
+}
+
+void SessionEngine::updateShares(const std::function<double(const Core::TeamName &)> &share,
+                                 Core::Instant now)
+{
+    for (auto &[team, rate] : rates_)
+        rate.setShare(share(team), now);
+}
+
+std::map<Core::TeamName, double> SessionEngine::demand(Core::Instant now) const
+{
+    std::map<Core::TeamName, double> result;
+    for (const auto &[team, rate] : rates_) {
+        constexpr double leastWorthTelling = 0.1;
+        const double perSecond = rate.demandPerSecond(now);
+        if (perSecond >= leastWorthTelling)
+            result[team] = perSecond;
+    }
+    return result;
+}
+
+void SessionEngine::shutDown(Core::Instant transactionsUntil, Core::Instant now)
+{
+    isStopping_ = true;
+    transactionsUntil_ = transactionsUntil;
+    for (auto &[id, session] : sessions_) {
+        if (session.isEnding)
+            continue;
+        const bool isResting = !session.running && session.transaction == TransactionStage::None;
+        if (isResting) {
+            end(session, {}, {});
+            continue;
+        }
+        session.isEnding = true;
+    }
+    scheduleReview(now);
+}
+
+void SessionEngine::wakeAt(SessionId id, Core::Instant at)
+{
+    wakeups_.push({at, id});
+}
+
+std::optional<Core::Instant> SessionEngine::dueAt(const Session &session) const
+{
+    std::optional<Core::Instant> due = session.endBy;
+    const auto consider = [&](Core::Instant at) { due = due ? std::min(*due, at) : at; };
+    if (session.running) {
+        const bool isQueued = session.running->stage == Operation::Stage::Queued;
+        consider(isQueued ? std::min(session.running->queueUntil, session.running->deadline)
+                          : session.running->deadline);
+    } else if (session.transaction == TransactionStage::Open) {
+        consider(session.lastActive + table_->transactionIdle);
+    }
+    return due;
+}
+
+Core::Instant SessionEngine::nextDeadline()
+{
+    while (!wakeups_.empty()) {
+        const Wakeup top = wakeups_.top();
+        const Session *session = findSession(top.session);
+        const auto due = session ? dueAt(*session) : std::nullopt;
+        if (due && *due <= top.at)
+            break;
+        wakeups_.pop();
+        if (due)
+            wakeups_.push({*due, top.session});
+    }
+    constexpr Core::Instant never(std::numeric_limits<std::int64_t>::max());
+    const Core::Instant session = wakeups_.empty() ? never : wakeups_.top().at;
+    return isReviewPlanned_ ? std::min(session, reviewAt_) : session;
+}
+
+void SessionEngine::advance(Core::Instant now)
+{
+    while (nextDeadline() <= now) {
+        if (isReviewPlanned_ && reviewAt_ <= now) {
+            isReviewPlanned_ = false;
+            reviewConnections(now);
+            for (auto &[name, group] : groups_)
+                reviewGroup(group, now);
+            continue;
+        }
+        const SessionId id = wakeups_.top().session;
+        wakeups_.pop();
+        if (Session *session = findSession(id))
+            review(*session, now);
+    }
+}
+
+void SessionEngine::review(Session &session, Core::Instant now)
+{
+    if (session.endBy && now >= *session.endBy) {
+        session.endBy.reset();
+        cutSession(session, Failure::AuthenticationFailed, "the key or route was withdrawn", now);
+        return;
+    }
+    if (!session.running) {
+        if (session.transaction != TransactionStage::Open
+            || now < session.lastActive + table_->transactionIdle)
+            return;
+        Connection *connection = findConnection(session.pinned);
+        session.transaction = TransactionStage::Failed;
+        session.pinned = 0;
+        log(Importance::Always, "transaction_idle", {{"session", std::to_string(session.id)}});
+        if (connection)
+            abandon(*connection, now);
+        return;
+    }
+    Operation &operation = *session.running;
+    if (operation.stage == Operation::Stage::Queued) {
+        if (now < std::min(operation.queueUntil, operation.deadline))
+            return;
+        fail(session, Failure::Busy, "no database had room in time; try again in 200 ms", now);
+        return;
+    }
+    if (now < operation.deadline)
+        return;
+    // The connection is closed, so that what is still under way can't start.
+    operation.attempts = maximumAttempts;
+    log(Importance::Always, "statement_timeout",
+        {{"id", operation.statement.id}, {"database", operation.database.value()}});
+    drop(operation.connection, now);
+}
+
+void SessionEngine::scheduleReview(Core::Instant at)
+{
+    if (isReviewPlanned_ && reviewAt_ <= at)
+        return;
+    isReviewPlanned_ = true;
+    reviewAt_ = at;
+}
+
+void SessionEngine::reviewConnections(Core::Instant now)
+{
+    std::vector<ConnectionId> stuck;
+    bool isAnyBusy = false;
+    for (const auto &[id, connection] : connections_) {
+        const bool isOpening = connection.state == Connection::State::Opening;
+        const bool isCleaning = connection.state == Connection::State::Cleaning;
+        isAnyBusy |= connection.state != Connection::State::Idle;
+        if ((isOpening && now >= connection.since + openTime)
+            || (isCleaning && now >= connection.since + cleanTime))
+            stuck.push_back(id);
+    }
+    for (const ConnectionId id : stuck) {
+        Connection *connection = findConnection(id);
+        if (!connection)
+            continue;
+        noteFailure(databases_.at(connection->database), now);
+        drop(id, now);
+    }
+    if (isAnyBusy || !statusWanted_.empty())
+        scheduleReview(now + reviewInterval);
+    serveStatus(now);
+    if (isStopping_ && now >= transactionsUntil_) {
+        std::vector<SessionId> late;
+        for (const auto &[id, session] : sessions_) {
+            if (!session.running)
+                late.push_back(id);
+        }
+        for (const SessionId id : late) {
+            Session &session = sessions_.at(id);
+            if (session.transaction == TransactionStage::None)
+                end(session, {}, {});
+            else
+                cutSession(session, Failure::Aborted, "the proxy is stopping", now);
+        }
+    } else if (isStopping_) {
+        scheduleReview(transactionsUntil_);
+    }
+}
+
+void SessionEngine::reviewGroup(Group &group, Core::Instant now)
+{
+    if (group.released < group.revision && now >= group.releaseBy) {
+        cutDatabase(group.oldPrimary, "it is being replaced as primary", now);
+        releaseOldPrimary(group, now);
+    }
+    const bool isLapsed = group.isPrimaryActive && now >= group.rightUntil;
+    if (isLapsed && !group.isLapseHandled) {
+        group.isLapseHandled = true;
+        cutDatabase(group.primary, "the right to use the primary has lapsed", now);
+    }
+    if (group.isPrimaryActive && !isLapsed)
+        scheduleReview(group.rightUntil);
+    reviewHealth(group, now);
+    if (group.queue.empty())
+        return;
+    dispatch(group, now);
+    if (!group.queue.empty())
+        scheduleReview(now + reviewInterval);
+}
+
+void SessionEngine::reviewHealth(Group &group, Core::Instant now)
+{
+    const Database *database = findDatabase(group.primary);
+    if (!database || !group.isPrimaryActive)
+        return;
+    const bool isSilent = now >= database->lastReply + silenceLimit
+        && std::ranges::any_of(database->connections, [&](ConnectionId id) {
+                              const Connection &connection = connections_.at(id);
+                              return !connection.owed.empty()
+                                  && now >= connection.owed.front().sentAt + silenceLimit;
+                          });
+    constexpr unsigned leastFailures = 2;
+    const bool isRefusing = database->troubleSince != Core::Instant()
+        && database->failures >= leastFailures && now >= database->troubleSince + refusalLimit;
+    if (isSilent || isRefusing)
+        group.health = PrimaryHealth::Suspect;
+    else if (now < database->lastReply + silenceLimit && database->lastReply != Core::Instant())
+        group.health = PrimaryHealth::Healthy;
+    else if (group.health == PrimaryHealth::Healthy)
+        group.health = PrimaryHealth::Unknown;
+    actions_.emplace_back(ReportHealth{group.name, group.health, group.highestMark});
+}
+
+std::vector<Action> SessionEngine::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+Session *SessionEngine::findSession(SessionId id)
+{
+    const auto found = sessions_.find(id);
+    return found == sessions_.end() ? nullptr : &found->second;
+}
+
+Connection *SessionEngine::findConnection(ConnectionId id)
+{
+    const auto found = connections_.find(id);
+    return found == connections_.end() ? nullptr : &found->second;
+}
+
+Database *SessionEngine::findDatabase(const Core::DatabaseName &name)
+{
+    const auto found = databases_.find(name);
+    return found == databases_.end() ? nullptr : &found->second;
+}
+
+Group &SessionEngine::groupOf(const Session &session)
+{
+    Group &group = groups_[session.route->group];
+    group.name = session.route->group;
+    return group;
+}
+
+void SessionEngine::log(Importance importance, std::string name,
+                        std::vector<std::pair<std::string, std::string>> fields)
+{
+    actions_.emplace_back(LogLine{importance, std::move(name), std::move(fields)});
+}
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/SessionEngine.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Sessions/Actions.h>
+#include <Sessions/Database.h>
+#include <Sessions/Placement.h>
+#include <Sessions/RoutingTable.h>
+#include <Sessions/Session.h>
+#include <Sessions/TeamRate.h>
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Chervilpin::Sessions {
+
+/// Which primary this proxy may use, and until when; given by the fleet.
+struct PrimaryGrant
+{
+    Core::GroupName group;
+    std::uint64_t revision = 0; ///< Of the record that says so; a higher one replaces it.
+    Core::DatabaseName database;
+    bool isActive = false;
+    Core::Instant validUntil;
+};
+
+/// The sessions of one proxy's callers over its connections to databases, without I/O.
+///
+/// A statement goes through these steps: authenticate (at the session's start), admit (the team's
+/// rate), queue, place (which database), borrow (a connection, brought to the session's state),
+/// execute, confirm (the right to the primary still holds), answer.
+class SessionEngine
+{
+public:
+    /// \a dataCentre is the proxy's own.
+    SessionEngine(Core::DataCentreName dataCentre, Core::Instant now);
+
+    // The control plane.
+    void configure(RoutingTablePointer, Core::Instant now);
+    void directoryChanged(std::span<const DatabaseEntry>, Core::Instant now);
+    void grantPrimary(const PrimaryGrant &, Core::Instant now);
+    void setMemberCount(std::size_t, Core::Instant now);
+    /// Takes over this proxy's fraction of each team's limits.
+    void updateShares(const std::function<double(const Core::TeamName &)> &share, Core::Instant now);
+    [[nodiscard]] std::map<Core::TeamName, double> demand(Core::Instant now) const;
+    /// Asks for a status as soon as a connection allows; never answered if the database is silent.
+    void askStatus(const Core::DatabaseName &, Core::Instant now);
+    /// Ends all sessions as they come to rest; transactions have until \a transactionsUntil.
+    void shutDown(Core::Instant transactionsUntil, Core::Instant now);
+    [[nodiscard]] bool isIdle() const { return sessions_.empty(); }
+    [[nodiscard]] bool isConfigured() const { return table_ != nullptr; }
+
+    // Callers.
+    void sessionOpened(SessionId, std::string_view databaseName, std::string_view key,
+                       Core::Instant now);
+    void statement(SessionId, Statement, Core::Instant now);
+    void sessionClosed(SessionId, Core::Instant now);
+
+    // Databases.
+    void connectionOpened(ConnectionId, std::optional<Core::LogMark>, Core::Instant now);
+    /// The connection ended, or could not be opened; \a reason if the database gave one.
+    void connectionEnded(ConnectionId, std::optional<Failure> reason, Core::Instant now);
+    void reply(ConnectionId, DatabaseReply, Core::Instant now);
+
+    /// When advance() is to be called at the latest.
+    [[nodiscard]] Core::Instant nextDeadline();
+    void advance(Core::Instant now);
+    [[nodiscard]] std::vector<Action> takeActions();
+
+    [[nodiscard]] std::size_t sessionCount() const { return sessions_.size(); }
+    [[nodiscard]] std::size_t connectionCount() const { return connections_.size(); }
+
+private:
+    // Callers' statements.
+    void start(Session &, Statement, Core::Instant now);
+    void startNext(Session &, Core::Instant now);
+    void answerLocally(Session &, const Statement &, Core::Instant now);
+    void begin(Session &, const Statement &, Core::Instant now);
+    void endUnbegun(Session &, const Statement &, Core::Instant now);
+    void rollBackOpen(Session &, Core::Instant now);
+    [[nodiscard]] bool admit(Session &, const Statement &, Core::Instant now);
+    [[nodiscard]] bool refresh(Session &, Core::Instant now);
+    void enqueue(Session &, Statement, Core::Instant now);
+    void runPinned(Session &, Statement, Core::Instant now);
+
+    // Placing and sending.
+    void dispatch(Group &, Core::Instant now);
+    [[nodiscard]] bool place(Session &, Group &, Core::Instant now);
+    [[nodiscard]] Placement::Need needOf(const Session &, const Group &, Core::Instant now) const;
+    [[nodiscard]] std::vector<Placement::Candidate> candidates(const Session &, const Group &,
+                                                               const Placement::Need &,
+                                                               Core::Instant now);
+    [[nodiscard]] Connection *findIdle(const Database &, const Core::TeamName &,
+                                       const SessionValues &);
+    [[nodiscard]] bool isOpening(const Database &, const Core::TeamName &) const;
+    void openFor(Database &, const Core::TeamName &, Core::Instant now);
+    [[nodiscard]] std::size_t connectionShare(const Database &) const;
+    void lend(Session &, Connection &, Core::Instant now);
+    void proceed(Session &, Core::Instant now);
+    void send(Connection &, Purpose, Statement, std::optional<Core::LogMark>, Core::Instant now);
+
+    // Answers.
+    void setupReplied(Connection &, const DatabaseReply &, Core::Instant now);
+    void beginReplied(Connection &, const DatabaseReply &, Core::Instant now);
+    void callerReplied(Connection &, DatabaseReply &, const Connection::Owed &, Core::Instant now);
+    void cleanupReplied(Connection &, const DatabaseReply &, Core::Instant now);
+    void noteReply(Connection &, const DatabaseReply &, const Connection::Owed &,
+                   Core::Instant now);
+    [[nodiscard]] bool retry(Session &, Failure, Core::Instant now);
+    void requeue(Session &, Core::Instant now);
+    void finish(Session &, DatabaseReply, Core::Instant now);
+    void fail(Session &, Failure, std::string text, Core::Instant now);
+    void answer(Session &, DatabaseReply, Core::Instant now);
+    void operationEnded(Session &, Core::Instant now);
+    void lost(Session &, const char *why, Core::Instant now);
+
+    // Connections.
+    void release(Connection &, Core::Instant now);
+    void abandon(Connection &, Core::Instant now);
+    void drop(ConnectionId, Core::Instant now);
+    void forget(ConnectionId);
+    void loseTransaction(Session &);
+    void cutSession(Session &, Failure, std::string text, Core::Instant now);
+    void end(Session &, std::optional<Failure>, std::string text);
+
+    // Time and health.
+    void wakeAt(SessionId, Core::Instant);
+    [[nodiscard]] std::optional<Core::Instant> dueAt(const Session &) const;
+    void review(Session &, Core::Instant now);
+    void reviewConnections(Core::Instant now);
+    void reviewGroup(Group &, Core::Instant now);
+    void reviewHealth(Group &, Core::Instant now);
+    void releaseOldPrimary(Group &, Core::Instant now);
+    void cutDatabase(const Core::DatabaseName &, const char *why, Core::Instant now);
+    void serveStatus(Core::Instant now);
+    void noteFailure(Database &, Core::Instant now);
+    [[nodiscard]] bool isWriteLike(const Session &) const;
+    void scheduleReview(Core::Instant at);
+
+    [[nodiscard]] Session *findSession(SessionId);
+    [[nodiscard]] Connection *findConnection(ConnectionId);
+    [[nodiscard]] Database *findDatabase(const Core::DatabaseName &);
+    [[nodiscard]] Group &groupOf(const Session &);
+    void log(Importance, std::string name,
+             std::vector<std::pair<std::string, std::string>> fields);
+
+    struct Wakeup
+    {
+        Core::Instant at;
+        SessionId session = 0;
+        auto operator<=>(const Wakeup &) const = default;
+    };
+
+    Core::DataCentreName dataCentre_;
+    RoutingTablePointer table_;
+    std::unordered_map<SessionId, Session> sessions_;
+    std::unordered_map<ConnectionId, Connection> connections_;
+    std::map<Core::DatabaseName, Database> databases_;
+    std::map<Core::GroupName, Group> groups_;
+    std::map<Core::TeamName, TeamRate> rates_;
+    std::vector<Action> actions_;
+    std::priority_queue<Wakeup, std::vector<Wakeup>, std::greater<>> wakeups_;
+    std::vector<Core::DatabaseName> statusWanted_;
+    ConnectionId nextConnection_ = 1;
+    std::size_t memberCount_ = 1;
+    Core::Instant reviewAt_;
+    bool isReviewPlanned_ = false;
+    bool isStopping_ = false;
+    Core::Instant transactionsUntil_;
+};
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -0,0 +1,244 @@
+#include <Sessions/SessionEngine.h>
+
+#include <Sessions/Timing.h>
+
+#include <algorithm>
+
+/// From a caller's statement to the queue.
+namespace Chervilpin::Sessions {
+
+namespace {
+
+bool isEndOfTransaction(StatementKind kind)
+{
+    return kind == StatementKind::Commit || kind == StatementKind::Rollback;
+}
+
+bool isAnsweredLocally(StatementKind kind)
+{
+    switch (kind) {
+    case StatementKind::SetValue:
+    case StatementKind::Prepare:
+    case StatementKind::Deallocate:
+    case StatementKind::Malformed:
+    case StatementKind::Reset:
+    case StatementKind::Status:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+void SessionEngine::sessionOpened(SessionId id, std::string_view databaseName,
+                                  std::string_view key, Core::Instant now)
+{
+    Session &session = sessions_[id];
+    session.id = id;
+    session.databaseName = databaseName;
+    session.key = key;
+    session.lastActive = now;
+    if (!refresh(session, now))
+        return;
+    session.isEnding = isStopping_;
+    actions_.emplace_back(AcceptSession{id});
+}
+
+bool SessionEngine::refresh(Session &session, Core::Instant)
+{
+    if (!table_) {
+        end(session, Failure::Busy, "no configuration is known yet; try again in 1 s");
+        return false;
+    }
+    session.route = table_->findRoute(session.databaseName);
+    if (!session.route) {
+        end(session, Failure::UnknownRoute, "no route has this database name");
+        return false;
+    }
+    const Core::TeamName *team = table_->findTeam(session.key);
+    if (!team && !session.route->isOpenToAll) {
+        end(session, Failure::AuthenticationFailed, "the key is unknown or was withdrawn");
+        return false;
+    }
+    session.team = team ? *team : Core::TeamName();
+    return true;
+}
+
+void SessionEngine::statement(SessionId id, Statement statement, Core::Instant now)
+{
+    Session *session = findSession(id);
+    if (!session || session->isEnded)
+        return;
+    session->lastActive = now;
+    if (session->running) {
+        session->waiting.push_back(std::move(statement));
+        return;
+    }
+    start(*session, std::move(statement), now);
+}
+
+void SessionEngine::start(Session &session, Statement statement, Core::Instant now)
+{
+    if (session.transaction == TransactionStage::Failed) {
+        if (isEndOfTransaction(statement.kind))
+            endUnbegun(session, statement, now);
+        else
+            answer(session, {{}, Failure::Malformed, "the transaction failed; roll it back"}, now);
+        return;
+    }
+    if (isAnsweredLocally(statement.kind)) {
+        answerLocally(session, statement, now);
+        return;
+    }
+    if (session.transaction == TransactionStage::None) {
+        if (isEndOfTransaction(statement.kind)) {
+            answer(session, {{}, Failure::Malformed, "no transaction is open"}, now);
+            return;
+        }
+        if (!refresh(session, now) || !admit(session, statement, now))
+            return;
+    }
+    if (statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginRead) {
+        begin(session, statement, now);
+        return;
+    }
+    if (statement.kind == StatementKind::Rollback) {
+        rollBackOpen(session, now);
+        return;
+    }
+    if (statement.kind == StatementKind::Execute && !session.state.findPrepared(statement.name)) {
+        answer(session, {{}, Failure::UnknownPrepared, "no prepared statement has this name"},
+               now);
+        return;
+    }
+    if (session.transaction == TransactionStage::Open)
+        runPinned(session, std::move(statement), now);
+    else
+        enqueue(session, std::move(statement), now);
+}
+
+void SessionEngine::answerLocally(Session &session, const Statement &statement, Core::Instant now)
+{
+    DatabaseReply reply;
+    switch (statement.kind) {
+    case StatementKind::SetValue:
+        session.state.setValue(statement.name, statement.arguments);
+        break;
+    case StatementKind::Prepare:
+        session.state.prepare(statement.name, {statement.access, statement.arguments});
+        break;
+    case StatementKind::Deallocate:
+        if (!session.state.deallocate(statement.name)) {
+            reply.failure = Failure::UnknownPrepared;
+            reply.failureText = "no prepared statement has this name";
+        }
+        break;
+    default:
+        reply.failure = Failure::Malformed;
+        reply.failureText = "the statement can't be understood";
+        break;
+    }
+    answer(session, std::move(reply), now);
+}
+
+bool SessionEngine::admit(Session &session, const Statement &, Core::Instant now)
+{
+    if (session.team.isEmpty())
+        return true;
+    const auto rate = rates_.find(session.team);
+    if (rate == rates_.end() || rate->second.take(now))
+        return true;
+    const Core::Duration wait = rate->second.waitForNext();
+    log(Importance::Sampled, "refused_over_rate",
+        {{"session", std::to_string(session.id)},
+         {"team", session.team.value()},
+         {"configuration", std::to_string(table_->version)},
+         {"retry_after_ms", std::to_string(wait.milliseconds())}});
+    answer(session,
+           {{},
+            Failure::Busy,
+            "the team is over its rate; try again in " + std::to_string(wait.milliseconds())
+                + " ms"},
+           now);
+    return false;
+}
+
+void SessionEngine::begin(Session &session, const Statement &statement, Core::Instant now)
+{
+    if (session.transaction != TransactionStage::None) {
+        answer(session, {{}, Failure::Malformed, "a transaction is open already"}, now);
+        return;
+    }
+    // A database learns of it with its first statement, so that none is held for a caller's pause.
+    session.transaction = TransactionStage::Announced;
+    session.beginKind = statement.kind;
+    session.hasTransactionWritten = false;
+    answer(session, {}, now);
+}
+
+void SessionEngine::endUnbegun(Session &session, const Statement &statement, Core::Instant now)
+{
+    const bool isCommit = statement.kind == StatementKind::Commit;
+    session.transaction = TransactionStage::None;
+    DatabaseReply reply;
+    if (isCommit) {
+        reply.failure = Failure::Aborted;
+        reply.failureText = "the transaction was rolled back";
+    }
+    answer(session, std::move(reply), now);
+    operationEnded(session, now);
+}
+
+void SessionEngine::rollBackOpen(Session &session, Core::Instant now)
+{
+    const bool isOpen = session.transaction == TransactionStage::Open;
+    session.transaction = TransactionStage::None;
+    if (Connection *connection = isOpen ? findConnection(session.pinned) : nullptr)
+        abandon(*connection, now);
+    session.pinned = 0;
+    answer(session, {}, now);
+    operationEnded(session, now);
+}
+
+void SessionEngine::enqueue(Session &session, Statement statement, Core::Instant now)
+{
+    Operation operation;
+    operation.statement = std::move(statement);
+    operation.arrived = now;
+    operation.deadline = now + session.route->statementTimeout;
+    operation.queueUntil = now + queueTime(*session.route);
+    session.running = std::move(operation);
+    Group &group = groupOf(session);
+    const auto priority = session.route->priority;
+    const auto position = std::ranges::find_if(group.queue, [&](SessionId other) {
+        return sessions_.at(other).route->priority > priority;
+    });
+    group.queue.insert(position, session.id);
+    dispatch(group, now);
+    if (session.running && session.running->stage == Operation::Stage::Queued)
+        wakeAt(session.id, session.running->queueUntil);
+}
+
+void SessionEngine::runPinned(Session &session, Statement statement, Core::Instant now)
+{
+    Connection *connection = findConnection(session.pinned);
+    if (!connection) {
+        session.transaction = TransactionStage::Failed;
+        answer(session, {{}, Failure::Aborted, "the database connection was lost"}, now);
+        return;
+    }
+    Operation operation;
+    operation.statement = std::move(statement);
+    operation.arrived = now;
+    operation.deadline = now + session.route->statementTimeout;
+    operation.queueUntil = operation.deadline;
+    operation.connection = connection->id;
+    operation.database = connection->database;
+    operation.isOnReplica = groupOf(session).primary != connection->database;
+    session.running = std::move(operation);
+    proceed(session, now);
+    wakeAt(session.id, session.running->deadline);
+}
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -0,0 +1,243 @@
+#include <Sessions/SessionEngine.h>
+
+#include <Sessions/Timing.h>
+
+#include <algorithm>
+
+/// From the queue to a database.
+namespace Chervilpin::Sessions {
+
+namespace {
+
+/// Connections to a database that no proxy plans with: for restarts, when the old process's
+/// connections still count, and for the status of a new primary.
+constexpr std::size_t connectionReserve = 2;
+
+/// Whether the operation can only run on the primary.
+bool isPrimaryOnly(const Session &session)
+{
+    if (session.route->consistency == Consistency::Latest)
+        return true;
+    if (session.transaction != TransactionStage::None)
+        return session.beginKind == StatementKind::Begin;
+    const Statement &statement = session.running->statement;
+    if (statement.kind == StatementKind::Execute) {
+        const PreparedShape *shape = session.state.findPrepared(statement.name);
+        return !shape || shape->access == Access::Write;
+    }
+    return statement.kind != StatementKind::Read;
+}
+
+} // namespace
+
+void SessionEngine::dispatch(Group &group, Core::Instant now)
+{
+    // Sending can end sessions only through later inputs, so the queue changes only here.
+    std::erase_if(group.queue, [&](SessionId id) {
+        Session *session = findSession(id);
+        if (!session || !session->running)
+            return true;
+        return place(*session, group, now);
+    });
+}
+
+Placement::Need SessionEngine::needOf(const Session &session, const Group &group,
+                                      Core::Instant now) const
+{
+    Placement::Need need;
+    need.isPrimaryOnly = isPrimaryOnly(session);
+    if (need.isPrimaryOnly)
+        return need;
+    need.mark = group.freshness.requiredFor(session.route->maximumAge - ageMargin, now);
+    if (!need.mark)
+        return need;
+    if (session.route->consistency == Consistency::ReadOwnWrites) {
+        const auto own = group.freshness.requiredForOwn(session.ownMark);
+        need.mark = std::max(*need.mark, *own);
+    }
+    const auto since = group.freshness.knownSince(*need.mark);
+    if (since)
+        need.markAge = now - *since;
+    return need;
+}
+
+std::vector<Placement::Candidate> SessionEngine::candidates(const Session &session,
+                                                            const Group &group,
+                                                            const Placement::Need &need,
+                                                            Core::Instant now)
+{
+    std::vector<Placement::Candidate> result;
+    const auto &avoided = session.running->avoided;
+    for (std::size_t i = 0; i < group.databases.size(); ++i) {
+        const Database &database = databases_.at(group.databases[i]);
+        const bool isPrimary = group.primary == database.entry.id;
+        const bool isDraining = database.entry.availability == DatabaseAvailability::Draining;
+        if (database.isGone || std::ranges::find(avoided, database.entry.id) != avoided.end())
+            continue;
+        // A draining primary goes on until the fleet has replaced it.
+        if (isPrimary ? !group.mayUsePrimary(now) : isDraining)
+            continue;
+        if (!isPrimary
+            && (need.isPrimaryOnly
+                || !Placement::isExpectedFresh(need, database.known, database.lag)))
+            continue;
+        Placement::Candidate candidate;
+        candidate.index = i;
+        candidate.isPrimary = isPrimary;
+        candidate.isNear = database.entry.dataCentre == dataCentre_;
+        candidate.outstanding = database.outstanding;
+        candidate.limit = Placement::statementLimit(database.entry.slots, memberCount_);
+        candidate.serviceMilliseconds = database.serviceMilliseconds;
+        candidate.hasConnection = findIdle(database, session.team, session.state.values());
+        candidate.canOpen = now >= database.openAfter;
+        result.push_back(candidate);
+    }
+    return result;
+}
+
+bool SessionEngine::place(Session &session, Group &group, Core::Instant now)
+{
+    const auto need = needOf(session, group, now);
+    const auto options = candidates(session, group, need, now);
+    const auto chosen = Placement::choose(need, options);
+    if (!chosen)
+        return false;
+    Database &database = databases_.at(group.databases[*chosen]);
+    Connection *connection = findIdle(database, session.team, session.state.values());
+    if (!connection) {
+        if (!isOpening(database, session.team))
+            openFor(database, session.team, now);
+        return false;
+    }
+    const bool isReplica = group.primary != database.entry.id;
+    session.running->isOnReplica = isReplica;
+    session.running->atLeast = isReplica ? need.mark : std::nullopt;
+    lend(session, *connection, now);
+    return true;
+}
+
+Connection *SessionEngine::findIdle(const Database &database, const Core::TeamName &team,
+                                    const SessionValues &values)
+{
+    Connection *found = nullptr;
+    for (const ConnectionId id : database.connections) {
+        Connection &connection = connections_.at(id);
+        if (connection.state != Connection::State::Idle || connection.team != team)
+            continue;
+        if (connection.context.hasValues(values))
+            return &connection;
+        found = &connection;
+    }
+    return found;
+}
+
+bool SessionEngine::isOpening(const Database &database, const Core::TeamName &team) const
+{
+    return std::ranges::any_of(database.connections, [&](ConnectionId id) {
+        const Connection &connection = connections_.at(id);
+        return connection.state == Connection::State::Opening && connection.team == team;
+    });
+}
+
+std::size_t SessionEngine::connectionShare(const Database &database) const
+{
+    const auto limits = table_->groups.find(database.entry.group);
+    if (limits == table_->groups.end())
+        return 1;
+    const std::size_t all = limits->second.maximumConnections;
+    const std::size_t planned = all > connectionReserve ? all - connectionReserve : 1;
+    return std::max<std::size_t>(1, planned / memberCount_);
+}
+
+void SessionEngine::openFor(Database &database, const Core::TeamName &team, Core::Instant now)
+{
+    if (now < database.openAfter)
+        return;
+    if (database.connections.size() >= connectionShare(database)) {
+        // The idle connection that rested longest makes room; it is of another team.
+        Connection *oldest = nullptr;
+        for (const ConnectionId id : database.connections) {
+            Connection &connection = connections_.at(id);
+            if (connection.state != Connection::State::Idle)
+                continue;
+            if (!oldest || connection.since < oldest->since)
+                oldest = &connection;
+        }
+        if (!oldest)
+            return;
+        drop(oldest->id, now);
+    }
+    Connection connection;
+    connection.id = nextConnection_++;
+    connection.group = database.entry.group;
+    connection.database = database.entry.id;
+    connection.team = team;
+    connection.since = now;
+    database.connections.insert(connection.id);
+    actions_.emplace_back(OpenConnection{connection.id, connection.group, connection.database,
+                                         database.entry.address, team});
+    connections_.emplace(connection.id, std::move(connection));
+    scheduleReview(now + reviewInterval);
+}
+
+void SessionEngine::lend(Session &session, Connection &connection, Core::Instant now)
+{
+    connection.state = Connection::State::Lent;
+    connection.since = now;
+    connection.session = session.id;
+    Operation &operation = *session.running;
+    operation.connection = connection.id;
+    operation.database = connection.database;
+    operation.stage = Operation::Stage::Queued;
+    ++operation.attempts;
+    if (!operation.firstSentAt)
+        operation.firstSentAt = now;
+    proceed(session, now);
+    wakeAt(session.id, operation.deadline);
+}
+
+void SessionEngine::proceed(Session &session, Core::Instant now)
+{
+    Operation &operation = *session.running;
+    Connection &connection = connections_.at(operation.connection);
+    const Statement &statement = operation.statement;
+    const PreparedShape *shape = statement.kind == StatementKind::Execute
+        ? session.state.findPrepared(statement.name)
+        : nullptr;
+    if (operation.stage == Operation::Stage::Queued) {
+        operation.stage = Operation::Stage::Preparing;
+        for (auto &setup : connection.context.bringTo(session.state.values(), shape))
+            send(connection, Purpose::Setup, std::move(setup), {}, now);
+    }
+    if (operation.stage == Operation::Stage::Preparing) {
+        if (!connection.owed.empty())
+            return;
+        operation.stage = Operation::Stage::Beginning;
+        if (session.transaction == TransactionStage::Announced) {
+            Statement begin;
+            begin.kind = session.beginKind;
+            send(connection, Purpose::Begin, std::move(begin), operation.atLeast, now);
+            return;
+        }
+    }
+    operation.stage = Operation::Stage::Executing;
+    Statement sent = statement;
+    if (shape)
+        sent.name = connection.context.nameOf(*shape);
+    // In a transaction its beginning has proved how fresh the log is.
+    const bool isSingle = session.transaction == TransactionStage::None;
+    send(connection, Purpose::Caller, std::move(sent),
+         isSingle ? operation.atLeast : std::nullopt, now);
+}
+
+void SessionEngine::send(Connection &connection, Purpose purpose, Statement statement,
+                         std::optional<Core::LogMark> atLeast, Core::Instant now)
+{
+    connection.owed.push_back({purpose, now});
+    if (Database *database = findDatabase(connection.database))
+        ++database->outstanding;
+    actions_.emplace_back(SendStatement{connection.id, std::move(statement), atLeast});
+    scheduleReview(now + reviewInterval);
+}
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -0,0 +1,326 @@
+#include <Sessions/SessionEngine.h>
+
+#include <Sessions/Timing.h>
+
+#include <algorithm>
+
+/// From a database's answer to the caller's.
+namespace Chervilpin::Sessions {
+
+namespace {
+
+/// Weight of the newest answer in the smoothed time of a database.
+constexpr double serviceWeight = 0.15;
+
+TransactionState stateOf(const Session &session)
+{
+    switch (session.transaction) {
+    case TransactionStage::None:
+        return TransactionState::None;
+    case TransactionStage::Failed:
+        return TransactionState::Failed;
+    default:
+        return TransactionState::Open;
+    }
+}
+
+} // namespace
+
+void SessionEngine::reply(ConnectionId id, DatabaseReply reply, Core::Instant now)
+{
+    Connection *connection = findConnection(id);
+    if (!connection || connection->owed.empty())
+        return;
+    const Connection::Owed owed = connection->owed.front();
+    connection->owed.pop_front();
+    noteReply(*connection, reply, owed, now);
+    switch (owed.purpose) {
+    case Purpose::Setup:
+        setupReplied(*connection, reply, now);
+        break;
+    case Purpose::Begin:
+        beginReplied(*connection, reply, now);
+        break;
+    case Purpose::Caller:
+        callerReplied(*connection, reply, owed, now);
+        break;
+    case Purpose::Cleanup:
+        cleanupReplied(*connection, reply, now);
+        break;
+    case Purpose::Status:
+        if (reply.status)
+            actions_.emplace_back(ReportStatus{connection->database, *reply.status});
+        release(*connection, now);
+        break;
+    }
+}
+
+void SessionEngine::noteReply(Connection &connection, const DatabaseReply &reply,
+                              const Connection::Owed &owed, Core::Instant now)
+{
+    Database *database = findDatabase(connection.database);
+    Group &group = groups_.at(connection.group);
+    if (!database)
+        return;
+    database->outstanding -= std::min(database->outstanding, 1U);
+    database->lastReply = now;
+    database->troubleSince = Core::Instant();
+    database->failures = 0;
+    if (owed.purpose == Purpose::Caller) {
+        const auto time = static_cast<double>((now - owed.sentAt).milliseconds());
+        auto &smoothed = database->serviceMilliseconds;
+        smoothed = smoothed == 0 ? time : smoothed + serviceWeight * (time - smoothed);
+    }
+    if (!reply.mark)
+        return;
+    database->known = *reply.mark;
+    group.highestMark = std::max(group.highestMark, *reply.mark);
+    const bool isPrimary = group.primary == connection.database;
+    if (isPrimary && owed.sentAt >= group.primarySince && group.mayUsePrimary(owed.sentAt))
+        group.freshness.add(owed.sentAt, *reply.mark);
+    if (!isPrimary)
+        database->lag = group.freshness.ageOf(*reply.mark, now);
+}
+
+void SessionEngine::setupReplied(Connection &connection, const DatabaseReply &reply,
+                                 Core::Instant now)
+{
+    Session *session = findSession(connection.session);
+    if (reply.failure) {
+        // What stands on the connection now is not known.
+        log(Importance::Always, "setup_failed",
+            {{"database", connection.database.value()},
+             {"failure", std::string(toString(*reply.failure))}});
+        drop(connection.id, now);
+        return;
+    }
+    if (!connection.owed.empty())
+        return;
+    if (session && session->running && session->running->connection == connection.id)
+        proceed(*session, now);
+    else
+        release(connection, now);
+}
+
+void SessionEngine::beginReplied(Connection &connection, const DatabaseReply &reply,
+                                 Core::Instant now)
+{
+    Session *session = findSession(connection.session);
+    if (!reply.failure)
+        connection.isInTransaction = true;
+    if (!session || !session->running || session->running->connection != connection.id) {
+        abandon(connection, now);
+        return;
+    }
+    if (reply.failure) {
+        const Failure failure = *reply.failure;
+        release(connection, now);
+        if (!retry(*session, failure, now))
+            fail(*session, failure, "the transaction could not begin: " + reply.failureText, now);
+        return;
+    }
+    session->transaction = TransactionStage::Open;
+    session->pinned = connection.id;
+    proceed(*session, now);
+}
+
+void SessionEngine::callerReplied(Connection &connection, DatabaseReply &reply,
+                                  const Connection::Owed &, Core::Instant now)
+{
+    connection.isInTransaction = reply.state != TransactionState::None;
+    Session *session = findSession(connection.session);
+    if (!session || !session->running || session->running->connection != connection.id) {
+        abandon(connection, now);
+        return;
+    }
+    const bool isSingle = session->transaction == TransactionStage::None;
+    if (reply.failure && isSingle && retry(*session, *reply.failure, now)) {
+        release(connection, now);
+        return;
+    }
+    const bool isEffect = isWriteLike(*session);
+    Group &group = groupOf(*session);
+    if (!reply.failure && isEffect && !group.mayConfirm(connection.database, now)) {
+        // Another database may lead by now, and the commit may be lost with this one.
+        log(Importance::Always, "success_withheld",
+            {{"id", session->running->statement.id},
+             {"database", connection.database.value()},
+             {"revision", std::to_string(group.revision)}});
+        reply.body.clear();
+        reply.failure = Failure::InDoubt;
+        reply.failureText = "the primary may have been replaced before the commit";
+    }
+    if (!reply.failure && isEffect && reply.mark)
+        session->ownMark = std::max(session->ownMark, *reply.mark);
+    if (!connection.isInTransaction) {
+        session->pinned = 0;
+        session->transaction = TransactionStage::None;
+        release(connection, now);
+    } else if (isSingle) {
+        drop(connection.id, now);
+    }
+    finish(*session, std::move(reply), now);
+}
+
+bool SessionEngine::isWriteLike(const Session &session) const
+{
+    const Statement &statement = session.running->statement;
+    if (session.transaction != TransactionStage::None)
+        return statement.kind == StatementKind::Commit
+            && session.beginKind == StatementKind::Begin;
+    if (statement.kind == StatementKind::Execute) {
+        const PreparedShape *shape = session.state.findPrepared(statement.name);
+        return !shape || shape->access == Access::Write;
+    }
+    return statement.kind != StatementKind::Read;
+}
+
+void SessionEngine::cleanupReplied(Connection &connection, const DatabaseReply &reply,
+                                   Core::Instant now)
+{
+    connection.isInTransaction = reply.state != TransactionState::None;
+    if (connection.isInTransaction)
+        drop(connection.id, now);
+    else
+        release(connection, now);
+}
+
+bool SessionEngine::retry(Session &session, Failure failure, Core::Instant now)
+{
+    Operation &operation = *session.running;
+    const bool isElsewherePossible =
+        failure == Failure::Busy || failure == Failure::Lagging || failure == Failure::ReadOnly;
+    const bool isAgainPossible = failure == Failure::UnknownPrepared;
+    if (!isElsewherePossible && !isAgainPossible)
+        return false;
+    // On the primary there is nowhere else to go; the caller gets the database's own answer.
+    if (isElsewherePossible && !operation.isOnReplica)
+        return false;
+    if (operation.attempts >= maximumAttempts || now >= operation.deadline)
+        return false;
+    if (isElsewherePossible)
+        operation.avoided.push_back(operation.database);
+    requeue(session, now);
+    return true;
+}
+
+void SessionEngine::requeue(Session &session, Core::Instant now)
+{
+    Operation &operation = *session.running;
+    log(Importance::Sampled, "statement_requeued",
+        {{"id", operation.statement.id},
+         {"database", operation.database.value()},
+         {"attempts", std::to_string(operation.attempts)}});
+    operation.stage = Operation::Stage::Queued;
+    operation.connection = 0;
+    operation.queueUntil = std::min(operation.deadline, now + queueTime(*session.route));
+    wakeAt(session.id, operation.queueUntil);
+    Group &group = groupOf(session);
+    // It has waited before, so it goes first. Dispatching is left to the next review or answer,
+    // since the caller of this function still holds the connection.
+    group.queue.insert(group.queue.begin(), session.id);
+    scheduleReview(now);
+}
+
+void SessionEngine::finish(Session &session, DatabaseReply reply, Core::Instant now)
+{
+    answer(session, std::move(reply), now);
+    if (session.transaction == TransactionStage::None)
+        operationEnded(session, now);
+}
+
+void SessionEngine::fail(Session &session, Failure failure, std::string text, Core::Instant now)
+{
+    if (session.running) {
+        Group &group = groupOf(session);
+        std::erase(group.queue, session.id);
+    }
+    if (session.transaction != TransactionStage::None)
+        session.transaction = TransactionStage::Failed;
+    session.pinned = 0;
+    answer(session, {{}, failure, std::move(text)}, now);
+}
+
+void SessionEngine::answer(Session &session, DatabaseReply reply, Core::Instant now)
+{
+    AnswerSession answered;
+    answered.session = session.id;
+    answered.body = std::move(reply.body);
+    answered.failure = reply.failure;
+    answered.text = std::move(reply.failureText);
+    answered.mark = reply.mark;
+    const bool isPassedOn =
+        session.transaction == TransactionStage::Open && session.running.has_value();
+    answered.state = isPassedOn ? reply.state : stateOf(session);
+    if (session.running) {
+        const Operation &operation = *session.running;
+        CountOutcome outcome;
+        outcome.outcome = reply.failure ? std::string(toString(*reply.failure)) : "done";
+        outcome.isOnReplica = operation.isOnReplica;
+        outcome.time = now - operation.arrived;
+        outcome.queued = operation.firstSentAt.value_or(now) - operation.arrived;
+        log(reply.failure ? Importance::Always : Importance::Sampled, "statement_ended",
+            {{"id", operation.statement.id},
+             {"session", std::to_string(session.id)},
+             {"team", session.team.value()},
+             {"route", session.route->name.value()},
+             {"database", operation.database.value()},
+             {"outcome", outcome.outcome},
+             {"text", answered.text},
+             {"attempts", std::to_string(operation.attempts)},
+             {"ms", std::to_string(outcome.time.milliseconds())},
+             {"queued_ms", std::to_string(outcome.queued.milliseconds())},
+             {"configuration", std::to_string(table_->version)}});
+        actions_.emplace_back(std::move(outcome));
+    }
+    session.running.reset();
+    session.lastActive = now;
+    if (session.transaction == TransactionStage::Open)
+        wakeAt(session.id, now + table_->transactionIdle);
+    actions_.emplace_back(std::move(answered));
+    startNext(session, now);
+}
+
+void SessionEngine::startNext(Session &session, Core::Instant now)
+{
+    if (session.waiting.empty() || session.running)
+        return;
+    Statement next = std::move(session.waiting.front());
+    session.waiting.pop_front();
+    start(session, std::move(next), now);
+}
+
+void SessionEngine::operationEnded(Session &session, Core::Instant)
+{
+    const bool isResting =
+        !session.running && session.transaction == TransactionStage::None && session.waiting.empty();
+    if (session.isEnding && isResting)
+        end(session, {}, {});
+}
+
+void SessionEngine::lost(Session &session, const char *why, Core::Instant now)
+{
+    Operation &operation = *session.running;
+    const bool isCommit = operation.statement.kind == StatementKind::Commit;
+    const bool isOpen = session.transaction == TransactionStage::Open;
+    if (isOpen && !(isCommit && operation.isExecuting() && isWriteLike(session))) {
+        // The database rolls back what a closed connection leaves open.
+        fail(session, Failure::Aborted, std::string("the transaction was rolled back: ") + why,
+             now);
+        return;
+    }
+    if (!isOpen && (!operation.isExecuting() || !isWriteLike(session))) {
+        if (operation.attempts < maximumAttempts && now < operation.deadline) {
+            requeue(session, now);
+            return;
+        }
+        fail(session, Failure::Aborted, why, now);
+        return;
+    }
+    session.transaction = TransactionStage::None;
+    session.pinned = 0;
+    answer(session, {{}, Failure::InDoubt, why}, now);
+    operationEnded(session, now);
+}
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/SessionState.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <Sessions/Statement.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Chervilpin::Sessions {
+
+using SessionValues = std::map<std::string, std::string, std::less<>>;
+
+/// A shape under the access that it was prepared for.
+struct PreparedShape
+{
+    Access access = Access::Read;
+    std::string shape;
+
+    auto operator<=>(const PreparedShape &) const = default;
+};
+
+/// What a caller set up in its session, wherever its statements run.
+class SessionState
+{
+public:
+    void setValue(std::string_view name, std::string_view value)
+    {
+        values_[std::string(name)] = value;
+    }
+    void prepare(std::string_view name, PreparedShape shape)
+    {
+        prepared_[std::string(name)] = std::move(shape);
+    }
+    /// False if there is no such name.
+    bool deallocate(std::string_view name);
+
+    [[nodiscard]] const PreparedShape *findPrepared(std::string_view name) const;
+    [[nodiscard]] const SessionValues &values() const { return values_; }
+
+private:
+    SessionValues values_;
+    std::map<std::string, PreparedShape, std::less<>> prepared_;
+};
+
+/// What is set up on a database connection, which serves many sessions one after the other.
+///
+/// Prepared statements are named by shape, so that all sessions share them.
+class ConnectionContext
+{
+public:
+    /// The statements that bring the connection to a session's values, and prepare \a shape on it
+    /// if that isn't null. Empty if nothing is missing. The context takes them as done.
+    [[nodiscard]] std::vector<Statement> bringTo(const SessionValues &, const PreparedShape *shape);
+
+    /// The name under which the shape is prepared here; empty if it isn't.
+    [[nodiscard]] std::string_view nameOf(const PreparedShape &) const;
+
+    [[nodiscard]] bool hasValues(const SessionValues &values) const { return values_ == values; }
+
+private:
+    SessionValues values_;
+    std::map<PreparedShape, std::string> prepared_;
+    unsigned nextName_ = 1;
+};
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/TeamRate.cpp
@@ -0,0 +1,90 @@
+#include <Sessions/TeamRate.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Chervilpin::Sessions {
+
+namespace {
+
+/// Demand is averaged over about this span: longer than the exchange of shares between proxies, and
+/// shorter than the 5 s window over which the users count a team's operations.
+constexpr Core::Duration demandSpan{1'500};
+/// A share of a small burst is rounded up to one operation, or the team could never start one.
+constexpr double leastCapacity = 1.0;
+
+double seconds(Core::Duration span)
+{
+    return static_cast<double>(span.milliseconds()) / 1'000.0;
+}
+
+} // namespace
+
+double TeamRate::capacity() const
+{
+    return std::max(leastCapacity, limits_.burst * share_);
+}
+
+void TeamRate::setLimits(TeamLimits limits, Core::Instant now)
+{
+    refill(now);
+    limits_ = limits;
+    if (isNew_)
+        tokens_ = capacity();
+    isNew_ = false;
+    tokens_ = std::min(tokens_, capacity());
+}
+
+void TeamRate::setShare(double share, Core::Instant now)
+{
+    refill(now);
+    // Tokens move with the share, so that the fleet's sum stays what it was.
+    if (share_ > 0)
+        tokens_ = tokens_ * share / share_;
+    share_ = share;
+    tokens_ = std::min(tokens_, capacity());
+}
+
+void TeamRate::refill(Core::Instant now)
+{
+    if (now > refilledAt_) {
+        tokens_ += limits_.ratePerSecond * share_ * seconds(now - refilledAt_);
+        refilledAt_ = now;
+    }
+    tokens_ = std::min(tokens_, capacity());
+}
+
+bool TeamRate::take(Core::Instant now)
+{
+    decayDemand(now);
+    demand_ += 1;
+    if (limits_.ratePerSecond <= 0)
+        return true;
+    refill(now);
+    if (tokens_ < 1)
+        return false;
+    tokens_ -= 1;
+    return true;
+}
+
+Core::Duration TeamRate::waitForNext() const
+{
+    const double rate = limits_.ratePerSecond * share_;
+    if (tokens_ >= 1 || rate <= 0)
+        return Core::Duration(0);
+    return Core::Duration(static_cast<std::int64_t>(std::ceil((1 - tokens_) / rate * 1'000)));
+}
+
+void TeamRate::decayDemand(Core::Instant now)
+{
+    demand_ *= std::exp(-seconds(now - demandAt_) / seconds(demandSpan));
+    demandAt_ = now;
+}
+
+double TeamRate::demandPerSecond(Core::Instant now) const
+{
+    return demand_ * std::exp(-seconds(now - demandAt_) / seconds(demandSpan))
+        / seconds(demandSpan);
+}
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/TeamRate.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Sessions/RoutingTable.h>
+
+namespace Chervilpin::Sessions {
+
+/// This proxy's part of one team's rate and burst, as a token bucket.
+class TeamRate
+{
+public:
+    /// Sets the limits of the whole fleet. A lower limit takes tokens away at once.
+    void setLimits(TeamLimits, Core::Instant now);
+    /// Sets the fraction, 0 to 1, of the limits that this proxy may spend.
+    void setShare(double share, Core::Instant now);
+
+    /// Takes one operation; false if it would exceed the share.
+    [[nodiscard]] bool take(Core::Instant now);
+    /// When the next operation may be taken at the earliest.
+    [[nodiscard]] Core::Duration waitForNext() const;
+
+    /// Operations asked for, granted or not, per second; smoothed over some seconds.
+    [[nodiscard]] double demandPerSecond(Core::Instant now) const;
+
+private:
+    void refill(Core::Instant now);
+    void decayDemand(Core::Instant now);
+    [[nodiscard]] double capacity() const;
+
+    TeamLimits limits_;
+    double share_ = 0;
+    double tokens_ = 0;
+    Core::Instant refilledAt_;
+    double demand_ = 0; ///< Operations, each decaying with demandSpan.
+    Core::Instant demandAt_;
+    bool isNew_ = true;
+};
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Libraries/Sessions/Timing.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Sessions/RoutingTable.h>
+
+#include <algorithm>
+
+namespace Chervilpin::Sessions {
+
+/// A primary that answered nothing for this long, though it was asked, is suspected. The slowest
+/// statements of the users take a third of a second.
+constexpr Core::Duration silenceLimit{900};
+/// A primary that refuses connections for this long is suspected; a restart of a database takes
+/// longer.
+constexpr Core::Duration refusalLimit{250};
+/// How often groups and connections are looked at while something is outstanding.
+constexpr Core::Duration reviewInterval{150};
+/// After a connection failed, the next to the same database is tried after this.
+constexpr Core::Duration reopenDelay{120};
+/// A database that takes no more connections is left alone for this long.
+constexpr Core::Duration connectionLimitDelay{400};
+/// How long opening a connection may take; the databases take about 12 ms.
+constexpr Core::Duration openTime{1'500};
+/// How long a connection may take to be cleaned before it is closed.
+constexpr Core::Duration cleanTime{1'500};
+/// Statements in flight and commits at a primary that is being replaced may end within this.
+constexpr Core::Duration replaceGrace{250};
+/// A read is repeated elsewhere this often at the most.
+constexpr unsigned maximumAttempts = 4;
+/// Reads are proved fresh for an age this much lower than stated, for the way to the database.
+constexpr Core::Duration ageMargin{100};
+/// How long a withdrawn key's running transaction may go on; the users ask for seconds.
+constexpr Core::Duration withdrawnTransactionTime{1'500};
+
+/// How long a statement may wait for a database. A quarter of the objective leaves time for the
+/// statement itself, and for the caller to come back elsewhere.
+[[nodiscard]] inline Core::Duration queueTime(const Route &route)
+{
+    return std::min(route.objective / 4, route.statementTimeout / 2);
+}
+
+} // namespace Chervilpin::Sessions
--- /dev/null
+++ b/Services/SessionProxy/LineConnection.cpp
@@ -0,0 +1,167 @@
+#include <Services/SessionProxy/LineConnection.h>
+
+#include <array>
+#include <utility>
+
+namespace Chervilpin::SessionProxy {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// One read takes this much; lines are mostly far shorter.
+constexpr std::size_t readBytesAtOnce = 16 * 1024;
+/// A reader that is behind by more than this is taken as gone.
+constexpr std::size_t maximumOutputBytes = std::size_t{4} * 1024 * 1024;
+
+/// Shared by all connections, which are read one after the other on one thread.
+std::array<char, readBytesAtOnce> &readBuffer()
+{
+    static std::array<char, readBytesAtOnce> buffer;
+    return buffer;
+}
+
+} // namespace
+
+LineConnection::LineConnection(asio::ip::tcp::socket socket, Handlers handlers)
+    : socket_(std::move(socket))
+    , handlers_(std::move(handlers))
+{ }
+
+void LineConnection::start()
+{
+    error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    waitForBytes();
+}
+
+void LineConnection::connect(const asio::ip::tcp::endpoint &endpoint,
+                             std::function<void()> opened)
+{
+    isConnecting_ = true;
+    socket_.async_connect(
+        endpoint, [self = shared_from_this(), opened = std::move(opened)](error_code error) {
+            self->isConnecting_ = false;
+            if (self->isClosed_)
+                return;
+            if (error) {
+                self->fail();
+                return;
+            }
+            self->start();
+            opened();
+        });
+}
+
+void LineConnection::waitForBytes()
+{
+    socket_.async_wait(asio::socket_base::wait_read, [self = shared_from_this()](error_code error) {
+        if (error || self->isClosed_)
+            return;
+        self->readBytes();
+    });
+}
+
+void LineConnection::readBytes()
+{
+    error_code error;
+    const std::size_t count = socket_.read_some(asio::buffer(readBuffer()), error);
+    if (error && error != asio::error::would_block) {
+        fail();
+        return;
+    }
+    buffer_.feed(std::span(readBuffer()).first(count));
+    takeLines();
+    if (isClosed_)
+        return;
+    if (buffer_.isOverlong())
+        fail();
+    else
+        waitForBytes();
+}
+
+void LineConnection::takeLines()
+{
+    while (!isClosed_ && !isFinishing_) {
+        const auto line = buffer_.next();
+        if (!line)
+            break;
+        handlers_.line(*line);
+    }
+    if (const auto batchEnded = handlers_.batchEnded)
+        batchEnded();
+}
+
+void LineConnection::send(std::string_view text)
+{
+    if (isClosed_)
+        return;
+    output_ += text;
+    if (!isWaitingToWrite_ && !isConnecting_)
+        flush();
+    if (output_.size() > maximumOutputBytes)
+        fail();
+}
+
+void LineConnection::flush()
+{
+    error_code error;
+    const std::size_t count = socket_.write_some(asio::buffer(output_), error);
+    output_.erase(0, count);
+    if (error && error != asio::error::would_block) {
+        fail();
+        return;
+    }
+    if (output_.empty()) {
+        if (isFinishing_)
+            close();
+        return;
+    }
+    isWaitingToWrite_ = true;
+    socket_.async_wait(asio::socket_base::wait_write,
+                       [self = shared_from_this()](error_code waitError) {
+                           self->isWaitingToWrite_ = false;
+                           if (!waitError && !self->isClosed_)
+                               self->flush();
+                       });
+}
+
+void LineConnection::finish()
+{
+    isFinishing_ = true;
+    if (output_.empty())
+        close();
+}
+
+void LineConnection::reset()
+{
+    if (isClosed_)
+        return;
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+void LineConnection::fail()
+{
+    if (isClosed_)
+        return;
+    const auto closed = handlers_.closed;
+    const auto batchEnded = handlers_.batchEnded;
+    close();
+    closed();
+    batchEnded();
+}
+
+void LineConnection::close()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+} // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Services/SessionProxy/Node.cpp
@@ -0,0 +1,320 @@
+#include <Services/SessionProxy/Node.h>
+
+#include <Core/Overloaded.h>
+#include <Core/SteadyClock.h>
+#include <FleetWire/HeartbeatCodec.h>
+#include <Services/SessionProxy/NodeTiming.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Chervilpin::SessionProxy {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Observe::Severity;
+
+namespace {
+
+Fleet::Boot makeBoot()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<Fleet::Boot>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::vector<Observe::LogField>
+toFields(const std::vector<std::pair<std::string, std::string>> &pairs)
+{
+    std::vector<Observe::LogField> fields;
+    fields.reserve(pairs.size());
+    for (const auto &[key, value] : pairs)
+        fields.push_back({key, value});
+    return fields;
+}
+
+} // namespace
+
+Node::Node(asio::io_context &context, SessionProxySettings settings, std::function<void()> stopped)
+    : context_(context)
+    , settings_(std::move(settings))
+    , stopped_(std::move(stopped))
+    , sessions_(settings_.dataCentre, Core::SteadyClock::now())
+    , fleet_({settings_.node, makeBoot(), settings_.dataCentre, settings_.peerListen},
+             Core::SteadyClock::now())
+    , acceptor_(context)
+    , timer_(context)
+{ }
+
+Node::~Node() = default;
+
+Core::ErrorOr<std::monostate> Node::start()
+{
+    store_.emplace(context_, TRY(Http::parseEndpoint(settings_.storeAddress)));
+    promotions_.emplace(context_, TRY(Http::parseEndpoint(settings_.promotionAddress)));
+    readyServer_ = TRY(Http::Server::create(
+        context_, settings_.readyListen, Http::ServerLimits(),
+        [this](const Http::Request &request, const Http::Responder &responder) {
+            answerReady(request, responder);
+        }));
+    metricsServer_ = TRY(Http::Server::create(
+        context_, settings_.metricsListen, Http::ServerLimits(),
+        [this](const Http::Request &, const Http::Responder &responder) {
+            answerMetrics(responder);
+        }));
+    peers_ = TRY(PeerSocket::create(context_, settings_.peerListen, [this](std::string_view text) {
+        const auto heartbeat = FleetWire::decode(text);
+        if (!heartbeat) {
+            metrics_.add("chervilpin_peer_messages_unreadable_total", "");
+            return;
+        }
+        fleet_.heartbeat(*heartbeat, Core::SteadyClock::now());
+        pump();
+    }));
+    TRY(listen());
+    startStoreLinks();
+    Observe::log(Severity::Info, "started",
+                 {{"callers", settings_.callerListen},
+                  {"peers", settings_.peerListen},
+                  {"store", settings_.storeAddress}});
+    pump();
+    return std::monostate();
+}
+
+void Node::stop()
+{
+    if (stoppingSince_)
+        return;
+    const Core::Instant now = Core::SteadyClock::now();
+    stoppingSince_ = now;
+    Observe::log(Severity::Info, "stopping",
+                 {{"sessions", std::to_string(sessions_.sessionCount())},
+                  {"grace_ms", std::to_string(settings_.stopGrace.milliseconds())}});
+    sessions_.shutDown(now + settings_.stopGrace / 2 - transactionMargin, now);
+    pump();
+}
+
+void Node::reload(const SessionProxySettings &settings)
+{
+    settings_.stopGrace = settings.stopGrace;
+    settings_.maximumSessions = settings.maximumSessions;
+    settings_.sampledLinesPerSecond = settings.sampledLinesPerSecond;
+    Observe::log(Severity::Info, "reloaded", {{"node", settings_.node.value()}});
+}
+
+void Node::pump()
+{
+    if (isPumping_)
+        return;
+    isPumping_ = true;
+    const Core::Instant now = Core::SteadyClock::now();
+    exchangeShares(now);
+    sessions_.advance(now);
+    fleet_.advance(now);
+    for (;;) {
+        auto sessionActions = sessions_.takeActions();
+        auto fleetActions = fleet_.takeActions();
+        if (sessionActions.empty() && fleetActions.empty())
+            break;
+        for (auto &action : sessionActions)
+            perform(action);
+        for (const auto &action : fleetActions)
+            perform(action);
+    }
+    checkStopped(now);
+    isPumping_ = false;
+    armTimer();
+}
+
+void Node::perform(Sessions::Action &action)
+{
+    const Core::Instant now = Core::SteadyClock::now();
+    std::visit(
+        Core::Overloaded{
+            [&](const Sessions::AcceptSession &accept) {
+                const auto caller = callers_.find(accept.session);
+                if (caller != callers_.end())
+                    caller->second.connection->send(
+                        Adapter::encodeReady(Sessions::TransactionState::None, {}));
+            },
+            [&](const Sessions::AnswerSession &answer) {
+                const auto caller = callers_.find(answer.session);
+                if (caller != callers_.end())
+                    caller->second.connection->send(Adapter::encode(answer));
+            },
+            [&](const Sessions::EndSession &end) {
+                const auto caller = callers_.find(end.session);
+                if (caller == callers_.end())
+                    return;
+                const auto connection = caller->second.connection;
+                if (end.failure)
+                    connection->send(Adapter::encodeError(*end.failure, end.text));
+                connection->finish();
+                callerClosed(end.session);
+            },
+            [&](const Sessions::OpenConnection &open) { openDatabase(open); },
+            [&](const Sessions::CloseConnection &close) {
+                const auto link = databases_.find(close.connection);
+                if (link == databases_.end())
+                    return;
+                link->second.connection->reset();
+                databases_.erase(link);
+            },
+            [&](const Sessions::SendStatement &send) {
+                const auto link = databases_.find(send.connection);
+                if (link != databases_.end())
+                    link->second.connection->send(Adapter::encode(send));
+            },
+            [&](const Sessions::ReportHealth &report) {
+                fleet_.primaryHealth(report.group, report.health, report.mark, now);
+            },
+            [&](const Sessions::ReportReleased &report) {
+                fleet_.primaryReleased(report.group, report.revision, now);
+            },
+            [&](const Sessions::ReportStatus &report) {
+                fleet_.statusAnswered(report.database, report.status, now);
+            },
+            [&](const Sessions::LogLine &line) { write(line); },
+            [&](const Sessions::CountOutcome &outcome) { count(outcome); },
+        },
+        action);
+    fleet_.advance(now);
+}
+
+void Node::perform(const Fleet::Action &action)
+{
+    const Core::Instant now = Core::SteadyClock::now();
+    std::visit(
+        Core::Overloaded{
+            [&](const Fleet::WriteRecord &write) { performWrite(write); },
+            [&](const Fleet::DeleteRecord &record) {
+                store_->send(Adapter::makeDelete(record), storeCallTime,
+                             [](const Core::ErrorOr<Http::Response> &) {});
+            },
+            [&](const Fleet::SendHeartbeat &send) {
+                peers_->send(send.address, FleetWire::encode(send.message));
+            },
+            [&](const Fleet::OrderPromotion &order) { performOrder(order); },
+            [&](const Fleet::AskStatus &ask) { sessions_.askStatus(ask.database, now); },
+            [&](const Fleet::PrimaryRight &right) {
+                sessions_.grantPrimary({right.group, right.revision, right.database,
+                                        right.phase == Fleet::PrimaryPhase::Active,
+                                        right.validUntil},
+                                       now);
+            },
+            [&](const Fleet::Event &event) {
+                Observe::log(Severity::Info, event.name, toFields(event.fields));
+            },
+        },
+        action);
+}
+
+void Node::performWrite(const Fleet::WriteRecord &write)
+{
+    store_->send(Adapter::makeWrite(write), storeCallTime,
+                 [this, id = write.id](const Core::ErrorOr<Http::Response> &response) {
+                     const auto result = Adapter::readWriteResult(response);
+                     fleet_.writeEnded(id, result.outcome, result.revision,
+                                       Core::SteadyClock::now());
+                     pump();
+                 });
+}
+
+void Node::performOrder(const Fleet::OrderPromotion &order)
+{
+    metrics_.add("chervilpin_promotion_orders_total", "");
+    promotions_->send(Adapter::makePromotion(order, settings_.node), promotionCallTime,
+                      [this, id = order.id](const Core::ErrorOr<Http::Response> &response) {
+                          fleet_.orderEnded(id, Adapter::readPromotionResult(response),
+                                            Core::SteadyClock::now());
+                          pump();
+                      });
+}
+
+void Node::count(const Sessions::CountOutcome &outcome)
+{
+    metrics_.add("chervilpin_statements_total", "outcome=\"" + outcome.outcome + "\",on=\""
+                     + (outcome.isOnReplica ? "replica" : "primary") + "\"");
+    constexpr std::int64_t microseconds = 1'000;
+    metrics_.record("chervilpin_statement_microseconds", "",
+                    static_cast<std::uint64_t>(outcome.time.milliseconds() * microseconds));
+    metrics_.record("chervilpin_queue_microseconds", "",
+                    static_cast<std::uint64_t>(outcome.queued.milliseconds() * microseconds));
+}
+
+void Node::write(const Sessions::LogLine &line)
+{
+    if (line.importance == Sessions::Importance::Sampled) {
+        const Core::Instant now = Core::SteadyClock::now();
+        const double perMillisecond = settings_.sampledLinesPerSecond / 1'000.0;
+        samples_ = std::min(settings_.sampledLinesPerSecond,
+                            samples_
+                                + perMillisecond
+                                    * static_cast<double>((now - sampleAt_).milliseconds()));
+        sampleAt_ = now;
+        if (samples_ < 1) {
+            ++linesLeftOut_;
+            return;
+        }
+        samples_ -= 1;
+    }
+    Observe::log(Severity::Info, line.name, toFields(line.fields));
+}
+
+void Node::exchangeShares(Core::Instant now)
+{
+    if (now < nextExchange_)
+        return;
+    nextExchange_ = now + exchangeInterval;
+    Observe::flushLog();
+    auto demand = sessions_.demand(now);
+    fleet_.setDemand(demand);
+    fleet_.setConfigurationVersion(configurationVersion_);
+    sessions_.setMemberCount(fleet_.memberCount(), now);
+    sessions_.updateShares([&](const Core::TeamName &team) { return fleet_.shareOf(team, now); },
+                           now);
+    if (configurationLink_ && fleet_.newestConfigurationOfPeers() > configurationVersion_)
+        configurationLink_->refresh();
+}
+
+void Node::armTimer()
+{
+    Core::Instant due = std::min(sessions_.nextDeadline(), fleet_.nextDeadline());
+    due = std::min(due, nextExchange_);
+    const Core::Instant now = Core::SteadyClock::now();
+    due = std::max(due, now + Core::Duration(1));
+    if (isTimerArmed_ && armedFor_ <= due && armedFor_ > now)
+        return;
+    armedFor_ = due;
+    isTimerArmed_ = true;
+    timer_.expires_after(std::chrono::milliseconds((due - now).milliseconds()));
+    timer_.async_wait([this](error_code error) {
+        if (error)
+            return;
+        isTimerArmed_ = false;
+        pump();
+    });
+}
+
+void Node::checkStopped(Core::Instant now)
+{
+    if (!stoppingSince_)
+        return;
+    nextExchange_ = std::min(nextExchange_, now + stopCheckInterval);
+    const bool isBalancerDone = now >= *stoppingSince_ + balancerDelay;
+    const bool isLate = now >= *stoppingSince_ + settings_.stopGrace - stopMargin;
+    if (!hasLeft_ && ((isBalancerDone && sessions_.isIdle()) || isLate)) {
+        hasLeft_ = true;
+        leftAt_ = now;
+        fleet_.leave(now);
+        for (const auto &action : fleet_.takeActions())
+            perform(action);
+    }
+    if (!hasLeft_ || now < leftAt_ + leaveTime)
+        return;
+    Observe::log(Severity::Info, "stopped",
+                 {{"sessions", std::to_string(sessions_.sessionCount())}});
+    stopped_();
+}
+
+} // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Services/SessionProxy/Node.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Result.h>
+#include <Fleet/FleetEngine.h>
+#include <Http/Client.h>
+#include <Http/Server.h>
+#include <Observe/Metrics.h>
+#include <Services/SessionProxy/LineConnection.h>
+#include <Services/SessionProxy/PeerSocket.h>
+#include <Services/SessionProxy/SessionProxySettings.h>
+#include <Services/SessionProxy/StoreLink.h>
+#include <Sessions/SessionEngine.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <platform/SessionCodec.h>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace Chervilpin::SessionProxy {
+
+/// One proxy: the engines of sessions and fleet, and the sockets and timers around them.
+///
+/// Every input ends in pump(), which carries out what the engines ask for and sets the timer for
+/// when the next of them has to be called.
+class Node
+{
+public:
+    Node(boost::asio::io_context &, SessionProxySettings, std::function<void()> stopped);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+    Node(Node &&) = delete;
+    Node &operator=(Node &&) = delete;
+
+    /// Opens all listeners and starts to follow the store. Fails if an address can't be bound.
+    Core::ErrorOr<std::monostate> start();
+    /// Stops gracefully; `stopped` is called at the end.
+    void stop();
+    /// Takes over settings that can change while running.
+    void reload(const SessionProxySettings &);
+
+private:
+    struct Caller
+    {
+        std::shared_ptr<LineConnection> connection;
+        bool isConnected = false; ///< It said which database it wants.
+    };
+
+    struct DatabaseLink
+    {
+        std::shared_ptr<LineConnection> connection;
+        Adapter::ReplyReader reader;
+        bool isReady = false; ///< The database accepted the session.
+    };
+
+    // Callers.
+    [[nodiscard]] Core::ErrorOr<std::monostate> listen();
+    void acceptNext();
+    void accepted(boost::asio::ip::tcp::socket);
+    void callerLine(Sessions::SessionId, std::string_view line);
+    void callerClosed(Sessions::SessionId);
+
+    // Databases.
+    void openDatabase(const Sessions::OpenConnection &);
+    void databaseLine(Sessions::ConnectionId, std::string_view line);
+    void databaseClosed(Sessions::ConnectionId, std::optional<Sessions::Failure>);
+
+    // Platform and peers.
+    void startStoreLinks();
+    void configurationListed(const std::vector<Adapter::StoreObject> &);
+    void directoryChanged(const std::vector<Adapter::StoreObject> &);
+    void applyDirectory();
+    void fleetChanged(const std::vector<Adapter::StoreObject> &, Core::Instant askedAt,
+                      bool isComplete);
+    void answerReady(const Http::Request &, const Http::Responder &) const;
+    void answerMetrics(const Http::Responder &);
+
+    // Actions.
+    void pump();
+    void perform(Sessions::Action &);
+    void perform(const Fleet::Action &);
+    void performWrite(const Fleet::WriteRecord &);
+    void performOrder(const Fleet::OrderPromotion &);
+    void count(const Sessions::CountOutcome &);
+    void write(const Sessions::LogLine &);
+    void exchangeShares(Core::Instant now);
+    void armTimer();
+    void checkStopped(Core::Instant now);
+
+    boost::asio::io_context &context_;
+    SessionProxySettings settings_;
+    std::function<void()> stopped_;
+    Sessions::SessionEngine sessions_;
+    Fleet::FleetEngine fleet_;
+    Observe::Metrics metrics_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    std::optional<Http::Client> store_;
+    std::optional<Http::Client> promotions_;
+    std::unique_ptr<Http::Server> readyServer_;
+    std::unique_ptr<Http::Server> metricsServer_;
+    std::unique_ptr<PeerSocket> peers_;
+    std::vector<std::unique_ptr<StoreLink>> storeLinks_;
+    StoreLink *configurationLink_ = nullptr;
+    std::unordered_map<Sessions::SessionId, Caller> callers_;
+    std::unordered_map<Sessions::ConnectionId, DatabaseLink> databases_;
+    std::map<std::string, Adapter::StoreObject> directory_;
+    std::set<std::string> unreadableEntries_; ///< Those that the log has told of.
+    Sessions::SessionId nextSession_ = 1;
+    std::uint64_t configurationVersion_ = 0;
+    Core::Instant armedFor_;
+    Core::Instant nextExchange_;
+    Core::Instant sampleAt_;
+    double samples_ = 0; ///< Log lines that may be written of requests that ended well.
+    std::uint64_t linesLeftOut_ = 0;
+    std::optional<Core::Instant> stoppingSince_;
+    bool hasLeft_ = false;
+    Core::Instant leftAt_;
+    bool isPumping_ = false;
+    bool isTimerArmed_ = false;
+};
+
+} // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -0,0 +1,321 @@
+#include <Services/SessionProxy/Node.h>
+
+#include <Core/Overloaded.h>
+#include <Core/SteadyClock.h>
+#include <Services/SessionProxy/NodeTiming.h>
+
+#include <chrono>
+#include <platform/Documents.h>
+
+/// Callers, databases, and what the store tells.
+namespace Chervilpin::SessionProxy {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Observe::Severity;
+
+Core::ErrorOr<std::monostate> Node::listen()
+{
+    const auto endpoint = TRY(Http::parseEndpoint(settings_.callerListen));
+    error_code error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Core::failure(Core::ErrorCode::Unavailable,
+                             settings_.callerListen + " can't be bound: " + error.message());
+    acceptNext();
+    return std::monostate();
+}
+
+void Node::acceptNext()
+{
+    acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
+        if (!error) {
+            accepted(std::move(socket));
+            acceptNext();
+            return;
+        }
+        Observe::log(Severity::Warning, "accept_failed", {{"why", error.message()}});
+        auto retry = std::make_shared<asio::steady_timer>(
+            context_, std::chrono::milliseconds(acceptRetry.milliseconds()));
+        retry->async_wait([this, retry](error_code) { acceptNext(); });
+    });
+}
+
+void Node::accepted(asio::ip::tcp::socket socket)
+{
+    if (callers_.size() >= settings_.maximumSessions) {
+        metrics_.add("chervilpin_sessions_refused_total", "");
+        return;
+    }
+    const Sessions::SessionId id = nextSession_++;
+    LineConnection::Handlers handlers;
+    handlers.line = [this, id](std::string_view line) { callerLine(id, line); };
+    handlers.closed = [this, id] { callerClosed(id); };
+    handlers.batchEnded = [this] { pump(); };
+    const auto connection =
+        std::make_shared<LineConnection>(std::move(socket), std::move(handlers));
+    callers_[id].connection = connection;
+    connection->start();
+}
+
+void Node::callerLine(Sessions::SessionId id, std::string_view line)
+{
+    const Core::Instant now = Core::SteadyClock::now();
+    const auto found = callers_.find(id);
+    if (found == callers_.end())
+        return;
+    Caller &caller = found->second;
+    const auto refuse = [&](Sessions::Failure failure, std::string_view why) {
+        const auto connection = caller.connection;
+        connection->send(Adapter::encodeError(failure, why));
+        connection->finish();
+        callerClosed(id);
+    };
+    std::visit(
+        Core::Overloaded{
+            [&](const Adapter::ConnectMessage &message) {
+                if (caller.isConnected) {
+                    refuse(Sessions::Failure::Malformed, "the session is open already");
+                    return;
+                }
+                caller.isConnected = true;
+                sessions_.sessionOpened(id, message.databaseName, message.key, now);
+            },
+            [&](Sessions::Statement &statement) {
+                if (caller.isConnected)
+                    sessions_.statement(id, std::move(statement), now);
+                else
+                    refuse(Sessions::Failure::Malformed, "the session isn't open yet");
+            },
+            [&](const Adapter::ReleaseMessage &) {
+                const auto connection = caller.connection;
+                connection->finish();
+                callerClosed(id);
+            },
+            [&](const Adapter::MalformedMessage &) {
+                refuse(Sessions::Failure::Malformed, "the message can't be understood");
+            },
+        },
+        [&]() -> Adapter::CallerMessage & {
+            static Adapter::CallerMessage message;
+            message = Adapter::decodeCallerLine(line);
+            return message;
+        }());
+}
+
+void Node::callerClosed(Sessions::SessionId id)
+{
+    if (callers_.erase(id) > 0)
+        sessions_.sessionClosed(id, Core::SteadyClock::now());
+}
+
+void Node::openDatabase(const Sessions::OpenConnection &open)
+{
+    metrics_.add("chervilpin_database_connections_opened_total", "");
+    const auto endpoint = Http::parseEndpoint(open.address);
+    if (!endpoint) {
+        Observe::log(Severity::Warning, "address_unusable",
+                     {{"database", open.database.value()}, {"address", open.address}});
+        sessions_.connectionEnded(open.connection, {}, Core::SteadyClock::now());
+        return;
+    }
+    const Sessions::ConnectionId id = open.connection;
+    LineConnection::Handlers handlers;
+    handlers.line = [this, id](std::string_view line) { databaseLine(id, line); };
+    handlers.closed = [this, id] { databaseClosed(id, {}); };
+    handlers.batchEnded = [this] { pump(); };
+    const auto connection =
+        std::make_shared<LineConnection>(asio::ip::tcp::socket(context_), std::move(handlers));
+    databases_[id].connection = connection;
+    connection->connect(
+        *endpoint,
+        [connection, hello = Adapter::encodeConnect(open.group, open.team, open.database)] {
+            connection->send(hello);
+        });
+}
+
+void Node::databaseLine(Sessions::ConnectionId id, std::string_view line)
+{
+    const auto found = databases_.find(id);
+    if (found == databases_.end())
+        return;
+    DatabaseLink &link = found->second;
+    auto taken = link.reader.take(line);
+    if (!taken) {
+        Observe::log(Severity::Warning, "database_unreadable", {{"why", taken.error().message}});
+        databaseClosed(id, {});
+        return;
+    }
+    const Core::Instant now = Core::SteadyClock::now();
+    if (!link.isReady) {
+        // An error instead of the first answer is followed by a close.
+        if (const auto refusal = link.reader.pendingFailure()) {
+            databaseClosed(id, refusal);
+            return;
+        }
+        if (!*taken)
+            return;
+        link.isReady = true;
+        sessions_.connectionOpened(id, (*taken)->mark, now);
+        return;
+    }
+    if (*taken)
+        sessions_.reply(id, std::move(**taken), now);
+}
+
+void Node::databaseClosed(Sessions::ConnectionId id, std::optional<Sessions::Failure> reason)
+{
+    const auto link = databases_.find(id);
+    if (link == databases_.end())
+        return;
+    link->second.connection->reset();
+    databases_.erase(link);
+    sessions_.connectionEnded(id, reason, Core::SteadyClock::now());
+}
+
+void Node::startStoreLinks()
+{
+    const auto reachable = [this](std::string_view what) {
+        return [this, what = std::string(what)](bool isReachable, const std::string &why) {
+            Observe::log(isReachable ? Severity::Info : Severity::Warning,
+                         isReachable ? "store_regained" : "store_lost",
+                         {{"feed", what}, {"why", why}});
+        };
+    };
+    using Objects = std::vector<Adapter::StoreObject>;
+    const auto add = [this](Adapter::StoreKind kind, Core::Duration wait,
+                            StoreLink::Handlers handlers) {
+        storeLinks_.push_back(
+            std::make_unique<StoreLink>(context_, *store_, kind, wait, std::move(handlers)));
+        return storeLinks_.back().get();
+    };
+    const auto configured = [this](const Objects &objects, Core::Instant) {
+        configurationListed(objects);
+        pump();
+    };
+    configurationLink_ = add(Adapter::StoreKind::Configuration, configurationWatch,
+                             {configured, configured, reachable("configuration")});
+    add(Adapter::StoreKind::Directory, directoryWatch,
+        {[this](const Objects &objects, Core::Instant) {
+             directory_.clear();
+             directoryChanged(objects);
+             pump();
+         },
+         [this](const Objects &objects, Core::Instant) {
+             directoryChanged(objects);
+             pump();
+         },
+         reachable("directory")});
+    add(Adapter::StoreKind::Fleet, fleetWatch,
+        {[this](const Objects &objects, Core::Instant askedAt) {
+             fleetChanged(objects, askedAt, true);
+         },
+         [this](const Objects &objects, Core::Instant askedAt) {
+             fleetChanged(objects, askedAt, false);
+         },
+         reachable("fleet")});
+    for (const auto &link : storeLinks_)
+        link->start();
+}
+
+void Node::configurationListed(const std::vector<Adapter::StoreObject> &objects)
+{
+    for (const auto &object : objects) {
+        if (object.name != Adapter::configurationName() || object.isDeleted)
+            continue;
+        auto table = Adapter::readRoutingTable(object.content);
+        if (!table) {
+            Observe::log(Severity::Warning, "configuration_unreadable",
+                         {{"revision", std::to_string(object.revision)},
+                          {"why", table.error().message}});
+            continue;
+        }
+        // A version never gives way to an older one in the life of a process.
+        if (table->version <= configurationVersion_)
+            continue;
+        configurationVersion_ = table->version;
+        sessions_.configure(std::make_shared<const Sessions::RoutingTable>(std::move(*table)),
+                            Core::SteadyClock::now());
+        nextExchange_ = Core::Instant();
+    }
+}
+
+void Node::directoryChanged(const std::vector<Adapter::StoreObject> &objects)
+{
+    for (const auto &object : objects) {
+        if (object.isDeleted)
+            directory_.erase(object.name);
+        else
+            directory_[object.name] = object;
+    }
+    applyDirectory();
+}
+
+void Node::applyDirectory()
+{
+    std::vector<Sessions::DatabaseEntry> entries;
+    for (const auto &[name, object] : directory_) {
+        auto entry = Adapter::readDatabaseEntry(name, object.content);
+        if (entry)
+            entries.push_back(std::move(*entry));
+        else if (unreadableEntries_.insert(name).second)
+            Observe::log(Severity::Warning, "directory_entry_unreadable",
+                         {{"name", name}, {"why", entry.error().message}});
+    }
+    const Core::Instant now = Core::SteadyClock::now();
+    sessions_.directoryChanged(entries, now);
+    fleet_.directoryChanged(entries, now);
+}
+
+void Node::fleetChanged(const std::vector<Adapter::StoreObject> &objects, Core::Instant askedAt,
+                        bool isComplete)
+{
+    std::vector<Fleet::StoredText> records;
+    records.reserve(objects.size());
+    for (const auto &object : objects)
+        records.push_back(Adapter::toStoredText(object));
+    const Core::Instant now = Core::SteadyClock::now();
+    if (isComplete)
+        fleet_.recordsListed(records, askedAt, now);
+    else
+        fleet_.recordsChanged(records, askedAt, now);
+    pump();
+}
+
+void Node::answerReady(const Http::Request &request, const Http::Responder &responder) const
+{
+    constexpr unsigned ready = 200;
+    constexpr unsigned notReady = 503;
+    constexpr unsigned notFound = 404;
+    Http::Response response;
+    const bool isReady = !stoppingSince_ && sessions_.isConfigured();
+    response.status = isReady ? ready : notReady;
+    if (request.target != Adapter::readinessPath())
+        response.status = notFound;
+    response.body = "{}";
+    responder(std::move(response));
+}
+
+void Node::answerMetrics(const Http::Responder &responder)
+{
+    metrics_.set("chervilpin_sessions", "", static_cast<std::int64_t>(sessions_.sessionCount()));
+    metrics_.set("chervilpin_database_connections", "",
+                 static_cast<std::int64_t>(sessions_.connectionCount()));
+    metrics_.set("chervilpin_members", "", static_cast<std::int64_t>(fleet_.memberCount()));
+    metrics_.set("chervilpin_leader", "", fleet_.isLeader() ? 1 : 0);
+    metrics_.set("chervilpin_configuration_version", "",
+                 static_cast<std::int64_t>(configurationVersion_));
+    metrics_.set("chervilpin_log_lines_left_out", "", static_cast<std::int64_t>(linesLeftOut_));
+    Http::Response response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = metrics_.text();
+    responder(std::move(response));
+}
+
+} // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Services/SessionProxy/NodeTiming.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+
+namespace Chervilpin::SessionProxy {
+
+/// How long a call of the store may take; it answers in 4 ms, and at times a hundred times slower.
+constexpr Core::Duration storeCallTime{1'200};
+/// The same for an order to promote.
+constexpr Core::Duration promotionCallTime{1'500};
+/// How long a watch is quiet. Each bounds how late a silent connection to the store is noticed,
+/// which has to be well within the users' bound for configuration.
+constexpr Core::Duration fleetWatch{2'000};
+constexpr Core::Duration configurationWatch{2'500};
+constexpr Core::Duration directoryWatch{2'500};
+/// How often shares of teams' rates and of connections are taken over from the fleet.
+constexpr Core::Duration exchangeInterval{500};
+/// How long the balancer may go on sending callers after this proxy said that it isn't ready: two
+/// questions, a second apart.
+constexpr Core::Duration balancerDelay{2'300};
+/// Open transactions end this much before half of the time to stop.
+constexpr Core::Duration transactionMargin{200};
+/// The process ends this much before it would be killed.
+constexpr Core::Duration stopMargin{700};
+constexpr Core::Duration stopCheckInterval{50};
+/// How long the removal of this member's record is waited for.
+constexpr Core::Duration leaveTime{100};
+/// New callers are accepted again this long after accepting failed.
+constexpr Core::Duration acceptRetry{50};
+
+} // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Services/SessionProxy/SessionProxySettings.cpp
@@ -0,0 +1,89 @@
+#include <Services/SessionProxy/SessionProxySettings.h>
+
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace Chervilpin::SessionProxy {
+
+using Core::ErrorCode;
+using Core::ErrorOr;
+using Core::failure;
+
+namespace {
+
+/// Reads fields of one file, and says which one is wrong.
+class FieldReader
+{
+public:
+    FieldReader(const toml::table &table, const std::string &file)
+        : table_(table)
+        , file_(file)
+    { }
+
+    [[nodiscard]] ErrorOr<std::string> text(std::string_view path) const
+    {
+        const auto value = table_.at_path(path).value<std::string>();
+        if (!value || value->empty())
+            return failure(ErrorCode::InvalidArgument,
+                           file_ + ": " + std::string(path) + ": a text is needed");
+        return *value;
+    }
+
+    [[nodiscard]] ErrorOr<std::int64_t> positive(std::string_view path,
+                                                 std::int64_t otherwise) const
+    {
+        const auto node = table_.at_path(path);
+        if (!node)
+            return otherwise;
+        const auto value = node.value<std::int64_t>();
+        if (!value || *value <= 0)
+            return failure(ErrorCode::InvalidArgument,
+                           file_ + ": " + std::string(path) + ": a number above 0 is needed");
+        return *value;
+    }
+
+private:
+    const toml::table &table_;
+    const std::string &file_;
+};
+
+ErrorOr<SessionProxySettings> readTable(const toml::table &table, const std::string &path)
+{
+    const FieldReader reader(table, path);
+    SessionProxySettings settings;
+    settings.node = Core::NodeName(TRY(reader.text("node.name")));
+    settings.dataCentre = Core::DataCentreName(TRY(reader.text("node.data_centre")));
+    settings.callerListen = TRY(reader.text("listen.callers"));
+    settings.readyListen = TRY(reader.text("listen.ready"));
+    settings.metricsListen = TRY(reader.text("listen.metrics"));
+    settings.peerListen = TRY(reader.text("listen.peers"));
+    settings.storeAddress = TRY(reader.text("store.address"));
+    settings.promotionAddress = TRY(reader.text("promotion.address"));
+    settings.stopGrace = Core::Duration(
+        TRY(reader.positive("limits.stop_grace_s", settings.stopGrace.milliseconds() / 1'000))
+        * 1'000);
+    settings.maximumSessions = static_cast<std::size_t>(
+        TRY(reader.positive("limits.sessions",
+                            static_cast<std::int64_t>(settings.maximumSessions))));
+    settings.sampledLinesPerSecond = static_cast<double>(
+        TRY(reader.positive("log.sampled_lines_per_s",
+                            static_cast<std::int64_t>(settings.sampledLinesPerSecond))));
+    if (const auto level = table.at_path("log.level").value<std::string>())
+        settings.logLevel = TRY(Observe::parseSeverity(*level));
+    return settings;
+}
+
+} // namespace
+
+ErrorOr<SessionProxySettings> readSettings(const std::string &path)
+{
+    try {
+        return readTable(toml::parse_file(path), path);
+    } catch (const toml::parse_error &problem) {
+        std::ostringstream message;
+        message << path << ":" << problem.source().begin.line << ": " << problem.description();
+        return failure(ErrorCode::InvalidArgument, message.str());
+    }
+}
+
+} // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Services/SessionProxy/SessionProxySettings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Core/Result.h>
+#include <Observe/Log.h>
+
+#include <cstddef>
+#include <string>
+
+namespace Chervilpin::SessionProxy {
+
+/// All settings of one process, as read from its TOML file.
+struct SessionProxySettings
+{
+    Core::NodeName node;
+    Core::DataCentreName dataCentre;
+    std::string callerListen;    ///< IP:port for callers.
+    std::string readyListen;     ///< IP:port for the balancer's question.
+    std::string metricsListen;   ///< IP:port for metrics.
+    std::string peerListen;      ///< IP:port for other proxies, UDP.
+    std::string storeAddress;    ///< IP:port of the platform's store.
+    std::string promotionAddress; ///< IP:port that promotions are ordered from.
+    Core::Duration stopGrace{6'000}; ///< From SIGTERM until the process is killed.
+    std::size_t maximumSessions = 3'800;
+    Observe::Severity logLevel = Observe::Severity::Info;
+    double sampledLinesPerSecond = 20; ///< Lines of requests that ended well.
+};
+
+/// Fails with InvalidArgument; the message names the file, the field and what is wrong.
+[[nodiscard]] Core::ErrorOr<SessionProxySettings> readSettings(const std::string &path);
+
+} // namespace Chervilpin::SessionProxy
