--- a/Libraries/Fleet/Actions.h
+++ b/Libraries/Fleet/Actions.h
@@ -41,7 +41,7 @@
     CallId id = 0;
     Core::GroupName group;
     Core::DatabaseName database;
-    Revision token = 0; ///< Fencing token; the revision of the record under which it is ordered.
+    Revision token = 0; ///< Fencing token: the revision of the leader's record, just written.
 };
 
 /// Asks a database for its status, in any order and without retries.
--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -32,6 +32,7 @@
 
 void FleetEngine::confirm(Core::Instant askedAt, Core::Instant now)
 {
+    isDeposed_ = false;
     storeSeenAt_ = std::max(storeSeenAt_, askedAt);
     if (view_.isMember(self_.node, self_.boot)) {
         for (const auto &[group, primary] : view_.primaries())
@@ -129,7 +130,6 @@
         state.databases.clear();
     for (const auto &entry : entries)
         groups_[entry.group].databases.push_back(entry);
-    directorySeenAt_ = now;
     nextReview_ = now;
 }
 
@@ -176,13 +176,15 @@
     nextReview_ = now;
     if (call == registration_)
         registration_ = 0;
-    if (call == leaderClaim_)
-        leaderClaim_ = 0;
     for (auto &[group, plan] : plans_)
         plan.writeEnded(call, outcome, revision, now);
     auto written = writes_.extract(call);
     if (written.empty())
         return;
+    if (call == leaderClaim_) {
+        leaderClaim_ = 0;
+        giveOrders(outcome, revision, now);
+    }
     if (outcome != WriteOutcome::Done) {
         log("record_not_written",
             {{"key", keyOf(written.mapped())},
@@ -260,15 +262,15 @@
 
 std::size_t FleetEngine::memberCount() const
 {
-    const auto count = std::ranges::count_if(
-        view_.members(), [](const auto &entry) { return !entry.second.record.isRetired; });
-    return std::max<std::size_t>(1, static_cast<std::size_t>(count));
+    // A retired one may still hold connections, and spend its share.
+    return std::max<std::size_t>(1, view_.members().size());
 }
 
 bool FleetEngine::isLeader() const
 {
     const auto &leader = view_.leader();
-    return leader && leader->record.node == self_.node && leader->record.boot == self_.boot;
+    return !isDeposed_ && leader && leader->record.node == self_.node
+        && leader->record.boot == self_.boot;
 }
 
 std::uint64_t FleetEngine::newestConfigurationOfPeers() const
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -94,6 +94,8 @@
     void reviewMembership(Core::Instant now);
     void reviewLeadership(Core::Instant now);
     void claimLeadership(Core::Instant now);
+    void order(OrderPromotion, Core::Instant now);
+    void giveOrders(WriteOutcome, Revision, Core::Instant now);
     [[nodiscard]] bool isLeaderGone(Core::Instant now) const;
 
     void lead(Core::Instant now);
@@ -128,17 +130,21 @@
     std::map<CallId, Record> writes_; ///< Those that are not answered yet.
     CallId registration_ = 0; ///< The call that is not answered yet.
     CallId leaderClaim_ = 0;
+    std::vector<OrderPromotion> orders_; ///< To be given once leadership is confirmed.
+    Core::Instant mayOrderFrom_;         ///< By then orders of the leader before have ended.
+    std::uint64_t leaderAttempt_ = 0;
+    Core::NodeName lastLeader_;
     Core::Instant claimSentAt_;
     Core::Instant registeredAt_;
     Core::Instant startedAt_;
     Core::Instant storeSeenAt_;      ///< When the newest answered question to the store was asked.
-    Core::Instant directorySeenAt_;
     Core::Instant nextBeat_;
     Core::Instant nextReview_;
     std::map<Core::NodeName, Core::Instant> memberSince_; ///< Since when this proxy knows it.
     std::map<Core::NodeName, Core::Instant> retiredSince_; ///< Since when it was seen as retired.
     std::map<Core::GroupName, Core::Instant> firstPrimaryWrittenAt_;
     bool isListed_ = false; ///< Whether the records were ever listed.
+    bool isDeposed_ = false; ///< Another leads, though the known record doesn't say so yet.
     bool isLeaving_ = false;
 };
 
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -75,14 +75,53 @@
 void FleetEngine::claimLeadership(Core::Instant now)
 {
     const auto &leader = view_.leader();
+    const bool isTakeOver =
+        leader && (leader->record.node != self_.node || leader->record.boot != self_.boot);
+    // A leader of an earlier life of this process can't order any more.
+    if (isTakeOver && leader->record.node != self_.node)
+        mayOrderFrom_ = now + orderEnd;
     leaderClaim_ = nextCall_++;
     claimSentAt_ = now + beatInterval;
-    write(leaderClaim_, LeaderRecord{self_.node, self_.boot}, leader ? leader->revision : 0);
+    write(leaderClaim_, LeaderRecord{self_.node, self_.boot, ++leaderAttempt_},
+          leader ? leader->revision : 0);
+}
+
+void FleetEngine::order(OrderPromotion promotion, Core::Instant now)
+{
+    orders_.push_back(std::move(promotion));
+    // Written anew for each order: it proves that nobody else leads, and its revision is a token
+    // above all that were used before.
+    if (leaderClaim_ == 0 && now >= mayOrderFrom_)
+        claimLeadership(now);
+}
+
+void FleetEngine::giveOrders(WriteOutcome outcome, Revision revision, Core::Instant now)
+{
+    if (outcome == WriteOutcome::Done)
+        view_.wrote(LeaderRecord{self_.node, self_.boot, leaderAttempt_}, revision);
+    for (auto &promotion : std::exchange(orders_, {})) {
+        const auto plan = plans_.find(promotion.group);
+        if (outcome != WriteOutcome::Done) {
+            if (plan != plans_.end())
+                plan->second.orderEnded(promotion.id, OrderOutcome::Unknown, now);
+            continue;
+        }
+        promotion.token = revision;
+        log("promotion_order", {{"group", promotion.group.value()},
+                                {"candidate", promotion.database.value()},
+                                {"token", std::to_string(revision)}});
+        actions_.emplace_back(std::move(promotion));
+    }
+    // Another proxy leads, and the records will tell which.
+    if (outcome == WriteOutcome::Conflict)
+        isDeposed_ = true;
 }
 
 void FleetEngine::lead(Core::Instant now)
 {
     retireSilent(now);
+    if (!orders_.empty() && leaderClaim_ == 0 && now >= mayOrderFrom_)
+        claimLeadership(now);
     for (auto &[group, state] : groups_)
         reviewGroup(group, state, now);
 }
@@ -140,6 +179,8 @@
     for (auto &action : plan->second.advance(inputs, nextCall_, now)) {
         if (auto *change = std::get_if<WriteRecord>(&action))
             write(change->id, std::move(change->record), change->expected);
+        else if (auto *promotion = std::get_if<OrderPromotion>(&action))
+            order(std::move(*promotion), now);
         else
             actions_.push_back(std::move(action));
     }
@@ -179,7 +220,7 @@
     if (entry != state.databases.end()
         && entry->availability == Sessions::DatabaseAvailability::Draining)
         return Reason::Leaving;
-    if (entry == state.databases.end() && now >= directorySeenAt_ + directoryGrace)
+    if (entry == state.databases.end())
         return Reason::Failed;
     if (isFoundDead(group, state, now))
         return Reason::Failed;
@@ -227,8 +268,11 @@
     PlanInputs inputs;
     inputs.highestMark = state.mark;
     for (const auto &entry : state.databases) {
-        const bool isReady = entry.availability == Sessions::DatabaseAvailability::Ready;
-        if (isReady && entry.id != plan.old())
+        if (entry.availability != Sessions::DatabaseAvailability::Ready)
+            continue;
+        if (entry.id == plan.old())
+            inputs.mayRestore = true;
+        else
             inputs.candidates.push_back(entry.id);
     }
     if (inputs.candidates.empty() && !state.databases.empty())
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -17,9 +17,6 @@
 constexpr Core::Duration catchUpWait = 1'500_ms;
 /// A call that wasn't answered after this is made again.
 constexpr Core::Duration callWait = 1'500_ms;
-/// An order is given only this long after the claim was sent. Older claims are renewed first, so
-/// that a leader that was paused can't order with a token which others have passed.
-constexpr Core::Duration claimFreshness = 1'000_ms;
 /// An accepted order that shows no effect after this is given again.
 constexpr Core::Duration takeOverWait = 4'000_ms;
 
@@ -37,6 +34,7 @@
     , reason_(reason)
     , self_(std::move(self))
     , attempt_(record_.attempt)
+    , wasOrdered_(record_.phase == PrimaryPhase::Replacing)
 { }
 
 std::vector<Action> PromotionPlan::advance(const PlanInputs &inputs, CallId &nextCall,
@@ -77,7 +75,6 @@
     claimed.attempt = ++attempt_;
     call_ = nextCall++;
     callSentAt_ = now;
-    claimSentAt_ = now;
     return {event("promotion_claim"), WriteRecord{call_, claimed, revision_}};
 }
 
@@ -89,6 +86,8 @@
     std::vector<Action> actions;
     for (const auto &database : inputs.candidates)
         actions.emplace_back(AskStatus{record_.group, database});
+    if (inputs.mayRestore)
+        actions.emplace_back(AskStatus{record_.group, record_.database});
     return actions;
 }
 
@@ -121,9 +120,21 @@
     return isAllKnown || now >= chooseSince_ + statusWait;
 }
 
+bool PromotionPlan::isOldAlive(const PlanInputs &inputs) const
+{
+    const auto status = statuses_.find(record_.database);
+    return inputs.mayRestore && status != statuses_.end()
+        && status->second.role == Sessions::DatabaseRole::Primary;
+}
+
 std::vector<Action> PromotionPlan::choose(const PlanInputs &inputs, CallId &nextCall,
                                           Core::Instant now)
 {
+    if (!wasOrdered_ && isOldAlive(inputs)) {
+        candidate_ = record_.database;
+        step_ = Step::Publish;
+        return publish(nextCall, now);
+    }
     if (!mayOrder(inputs, now)) {
         // All that could be asked refused the order; perhaps one of them runs again by now.
         if (!inputs.candidates.empty() && notRunning_.size() >= inputs.candidates.size())
@@ -137,14 +148,10 @@
 
 std::vector<Action> PromotionPlan::order(CallId &nextCall, Core::Instant now)
 {
-    if (now > claimSentAt_ + claimFreshness)
-        return claim(nextCall, now);
     call_ = nextCall++;
     callSentAt_ = now;
-    Event ordered = event("promotion_order");
-    ordered.fields.emplace_back("candidate", candidate_.value());
-    ordered.fields.emplace_back("token", std::to_string(claimRevision_));
-    return {ordered, OrderPromotion{call_, record_.group, candidate_, claimRevision_}};
+    wasOrdered_ = true;
+    return {OrderPromotion{call_, record_.group, candidate_, 0}};
 }
 
 std::vector<Action> PromotionPlan::verify(Core::Instant now)
@@ -193,12 +200,8 @@
         return;
     }
     claimRevision_ = revision;
-    if (fenceRevision_ == 0) {
-        fenceRevision_ = revision;
-        fencedFrom_ = now;
-    }
-    if (step_ == Step::Claim)
-        step_ = Step::Fence;
+    claimedAt_ = now;
+    step_ = Step::Fence;
 }
 
 void PromotionPlan::orderEnded(CallId call, OrderOutcome outcome, Core::Instant now)
@@ -226,7 +229,7 @@
                                    const Sessions::DatabaseStatus &status, Core::Instant now)
 {
     statuses_[database] = status;
-    const bool isOrdered = step_ == Step::Verify || (step_ == Step::Order && claimRevision_ != 0);
+    const bool isOrdered = step_ == Step::Verify || step_ == Step::Order;
     if (!isOrdered || database != candidate_ || status.role != Sessions::DatabaseRole::Primary)
         return;
     call_ = 0;
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -33,6 +33,8 @@
     bool isFenced = false;
     /// Databases that could be promoted: listed, ready, not the old primary.
     std::vector<Core::DatabaseName> candidates;
+    /// Whether the old primary is still listed and doesn't leave, so that it may go on.
+    bool mayRestore = false;
     /// The highest mark that any proxy saw of the old primary.
     Core::LogMark highestMark;
 };
@@ -41,9 +43,11 @@
 ///
 /// 1. The record is set to Replacing, which ends the giving of rights.
 /// 2. Every member has stopped using the old primary, or its right has lapsed.
-/// 3. The candidate with the longest log is ordered to take over, with the revision of the claim
-///    as fencing token. Another is chosen only if the order was answered with NotRunning.
+/// 3. The candidate with the longest log is ordered to take over. Another is chosen only if the
+///    order was answered with NotRunning.
 /// 4. Once the candidate says itself that it is the primary, the record names it as Active.
+///
+/// If the old primary answers before an order was given, the record names it as Active again.
 class PromotionPlan
 {
 public:
@@ -59,8 +63,8 @@
     [[nodiscard]] bool isFinished() const { return step_ == Step::Finished; }
     [[nodiscard]] bool isClaimed() const { return claimRevision_ != 0; }
     /// The revision that members have to adopt, and when it was written at the earliest.
-    [[nodiscard]] Revision claimRevision() const { return fenceRevision_; }
-    [[nodiscard]] Core::Instant claimedAt() const { return fencedFrom_; }
+    [[nodiscard]] Revision claimRevision() const { return claimRevision_; }
+    [[nodiscard]] Core::Instant claimedAt() const { return claimedAt_; }
     [[nodiscard]] Reason reason() const { return reason_; }
     [[nodiscard]] const Core::DatabaseName &old() const { return record_.database; }
     /// When advance() is to be called again without other news.
@@ -80,6 +84,7 @@
     std::vector<Action> claim(CallId &nextCall, Core::Instant now);
     std::vector<Action> choose(const PlanInputs &, CallId &nextCall, Core::Instant now);
     std::vector<Action> order(CallId &nextCall, Core::Instant now);
+    [[nodiscard]] bool isOldAlive(const PlanInputs &) const;
     std::vector<Action> verify(Core::Instant now);
     std::vector<Action> publish(CallId &nextCall, Core::Instant now);
     std::vector<Action> askAll(const PlanInputs &, Core::Instant now);
@@ -94,10 +99,8 @@
     Step step_ = Step::Claim;
     CallId call_ = 0; ///< The one that is not answered yet.
     Core::Instant callSentAt_;
-    Revision claimRevision_ = 0; ///< Of the newest claim: the fencing token.
-    Core::Instant claimSentAt_;
-    Revision fenceRevision_ = 0; ///< Of the first claim.
-    Core::Instant fencedFrom_;   ///< When the first claim was known to be written.
+    Revision claimRevision_ = 0;
+    Core::Instant claimedAt_; ///< When the claim was known to be written.
     Core::Instant chooseSince_;
     Core::Instant askedAt_;
     Core::Instant nextStepAt_;
@@ -105,6 +108,7 @@
     std::set<Core::DatabaseName> notRunning_;
     Core::DatabaseName candidate_;
     std::uint64_t attempt_ = 0;
+    bool wasOrdered_ = false; ///< Perhaps by an earlier leader, whose claim this plan resumes.
 };
 
 } // namespace Chervilpin::Fleet
--- a/Libraries/Fleet/Records.cpp
+++ b/Libraries/Fleet/Records.cpp
@@ -34,7 +34,8 @@
 
 json::object toJson(const LeaderRecord &record)
 {
-    return {{"node", record.node.value()}, {"boot", record.boot}};
+    return {
+        {"node", record.node.value()}, {"boot", record.boot}, {"attempt", record.attempt}};
 }
 
 json::object toJson(const PrimaryRecord &record)
@@ -66,7 +67,8 @@
 
 LeaderRecord readLeader(const json::object &object)
 {
-    return {Core::NodeName(text(object, "node")), object.at("boot").to_number<Boot>()};
+    return {Core::NodeName(text(object, "node")), object.at("boot").to_number<Boot>(),
+            object.at("attempt").to_number<std::uint64_t>()};
 }
 
 PrimaryRecord readPrimary(const json::object &object)
--- a/Libraries/Fleet/Records.h
+++ b/Libraries/Fleet/Records.h
@@ -38,6 +38,7 @@
 {
     Core::NodeName node;
     Boot boot = 0;
+    std::uint64_t attempt = 0; ///< Differs between writes, so that each has a revision of its own.
 };
 
 enum class PrimaryPhase {
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -19,9 +19,9 @@
 constexpr Core::Duration reviewInterval{250};
 /// Successors of a leader try one after the other, this far apart, by the order of their names.
 constexpr Core::Duration successionStep{150};
-/// A primary that left the directory is replaced after this, in which its entry could come back
-/// after an outage of the store: the users' pages promise about two seconds.
-constexpr Core::Duration directoryGrace{2'500};
+/// An order that a leader gave just before it lost the lead has ended after this: the time of the
+/// call, and some for its way.
+constexpr Core::Duration orderEnd{1'500};
 /// Added to the time that a right may last, for clocks that run at different speeds.
 constexpr Core::Duration clockDrift{200};
 
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -90,8 +90,14 @@
             const bool isDead = group.health == PrimaryHealth::Suspect;
             group.releaseBy = isDead ? now : now + replaceGrace;
         }
-        if (group.primary != grant.database || !group.isPrimaryActive)
+        if (group.primary != grant.database || !group.isPrimaryActive) {
             group.primarySince = now;
+            // What failed before says nothing of the database as the primary.
+            if (Database *database = findDatabase(grant.database)) {
+                database->troubleSince = Core::Instant();
+                database->failures = 0;
+            }
+        }
         group.revision = grant.revision;
         group.primary = grant.database;
         group.isPrimaryActive = grant.isActive;
@@ -148,9 +154,15 @@
     }
 }
 
-void SessionEngine::setMemberCount(std::size_t count, Core::Instant)
+void SessionEngine::setMemberCount(std::size_t count, Core::Instant now)
 {
-    memberCount_ = std::max<std::size_t>(1, count);
+    // A proxy that left is mostly back soon, and what it had open may count for a while longer.
+    if (count >= memberCount_) {
+        memberCount_ = std::max<std::size_t>(1, count);
+        memberCountSince_ = now;
+    } else if (now >= memberCountSince_ + memberReturnTime) {
+        memberCount_ = std::max<std::size_t>(1, count);
+    }
 }
 
 void SessionEngine::updateShares(const std::function<double(const Core::TeamName &)> &share,
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -168,6 +168,7 @@
     std::vector<Core::DatabaseName> statusWanted_;
     ConnectionId nextConnection_ = 1;
     std::size_t memberCount_ = 1;
+    Core::Instant memberCountSince_; ///< When there were so many last.
     Core::Instant reviewAt_;
     bool isReviewPlanned_ = false;
     bool isStopping_ = false;
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -21,6 +21,9 @@
 constexpr Core::Duration connectionLimitDelay{400};
 /// How long opening a connection may take; the databases take about 12 ms.
 constexpr Core::Duration openTime{1'500};
+/// Connections of a proxy that left are shared by the others after this. Restarts and the
+/// replacement of a VM take less.
+constexpr Core::Duration memberReturnTime{20'000};
 /// How long a connection may take to be cleaned before it is closed.
 constexpr Core::Duration cleanTime{1'500};
 /// Statements in flight and commits at a primary that is being replaced may end within this.
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -109,6 +109,9 @@
     isPumping_ = true;
     const Core::Instant now = Core::SteadyClock::now();
     exchangeShares(now);
+    const auto expiry = directory_.nextExpiry();
+    if (expiry && now >= *expiry)
+        applyDirectory(now);
     sessions_.advance(now);
     fleet_.advance(now);
     for (;;) {
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -10,6 +10,7 @@
 #include <Services/SessionProxy/PeerSocket.h>
 #include <Services/SessionProxy/SessionProxySettings.h>
 #include <Services/SessionProxy/StoreLink.h>
+#include <Sessions/DirectoryView.h>
 #include <Sessions/SessionEngine.h>
 
 #include <boost/asio/io_context.hpp>
@@ -75,8 +76,11 @@
     // Platform and peers.
     void startStoreLinks();
     void configurationListed(const std::vector<Adapter::StoreObject> &);
+    void directoryListed(const std::vector<Adapter::StoreObject> &);
     void directoryChanged(const std::vector<Adapter::StoreObject> &);
-    void applyDirectory();
+    [[nodiscard]] std::optional<Sessions::DatabaseEntry>
+    readEntry(const Adapter::StoreObject &object);
+    void applyDirectory(Core::Instant now);
     void fleetChanged(const std::vector<Adapter::StoreObject> &, Core::Instant askedAt,
                       bool isComplete);
     void answerReady(const Http::Request &, const Http::Responder &) const;
@@ -111,7 +115,7 @@
     StoreLink *configurationLink_ = nullptr;
     std::unordered_map<Sessions::SessionId, Caller> callers_;
     std::unordered_map<Sessions::ConnectionId, DatabaseLink> databases_;
-    std::map<std::string, Adapter::StoreObject> directory_;
+    Sessions::DirectoryView directory_;
     std::set<std::string> unreadableEntries_; ///< Those that the log has told of.
     Sessions::SessionId nextSession_ = 1;
     std::uint64_t configurationVersion_ = 0;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -203,8 +203,7 @@
                              {configured, configured, reachable("configuration")});
     add(Adapter::StoreKind::Directory, directoryWatch,
         {[this](const Objects &objects, Core::Instant) {
-             directory_.clear();
-             directoryChanged(objects);
+             directoryListed(objects);
              pump();
          },
          [this](const Objects &objects, Core::Instant) {
@@ -246,29 +245,47 @@
     }
 }
 
-void Node::directoryChanged(const std::vector<Adapter::StoreObject> &objects)
+std::optional<Sessions::DatabaseEntry> Node::readEntry(const Adapter::StoreObject &object)
 {
-    for (const auto &object : objects) {
-        if (object.isDeleted)
-            directory_.erase(object.name);
-        else
-            directory_[object.name] = object;
-    }
-    applyDirectory();
+    auto entry = Adapter::readDatabaseEntry(object.name, object.content);
+    if (entry)
+        return std::move(*entry);
+    if (unreadableEntries_.insert(object.name).second)
+        Observe::log(Severity::Warning, "directory_entry_unreadable",
+                     {{"name", object.name}, {"why", entry.error().message}});
+    return {};
 }
 
-void Node::applyDirectory()
+void Node::directoryListed(const std::vector<Adapter::StoreObject> &objects)
 {
     std::vector<Sessions::DatabaseEntry> entries;
-    for (const auto &[name, object] : directory_) {
-        auto entry = Adapter::readDatabaseEntry(name, object.content);
-        if (entry)
+    for (const auto &object : objects) {
+        if (auto entry = readEntry(object))
             entries.push_back(std::move(*entry));
-        else if (unreadableEntries_.insert(name).second)
-            Observe::log(Severity::Warning, "directory_entry_unreadable",
-                         {{"name", name}, {"why", entry.error().message}});
     }
     const Core::Instant now = Core::SteadyClock::now();
+    directory_.replace(entries, now);
+    applyDirectory(now);
+}
+
+void Node::directoryChanged(const std::vector<Adapter::StoreObject> &objects)
+{
+    if (objects.empty())
+        return;
+    const Core::Instant now = Core::SteadyClock::now();
+    for (const auto &object : objects) {
+        const auto entry = object.isDeleted ? std::nullopt : readEntry(object);
+        if (entry)
+            directory_.put(*entry);
+        else
+            directory_.remove(Core::DatabaseName(object.name), now);
+    }
+    applyDirectory(now);
+}
+
+void Node::applyDirectory(Core::Instant now)
+{
+    const auto entries = directory_.entries(now);
     sessions_.directoryChanged(entries, now);
     fleet_.directoryChanged(entries, now);
 }
