--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -137,6 +137,14 @@
     nextReview_ = now;
 }
 
+void FleetEngine::storeReachable(bool isReachable, Core::Instant now)
+{
+    isStoreLost_ = !isReachable;
+    if (isReachable)
+        contactSince_ = now;
+    nextReview_ = now;
+}
+
 void FleetEngine::heartbeat(const Heartbeat &message, Core::Instant now)
 {
     if (message.node == self_.node || !peers_.heard(message, now))
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -44,6 +44,9 @@
     void heartbeat(const Heartbeat &, Core::Instant now);
     void directoryChanged(std::span<const Sessions::DatabaseEntry>, Core::Instant now);
 
+    /// Contact with the store was lost or regained.
+    void storeReachable(bool isReachable, Core::Instant now);
+
     /// What this proxy's own statements show of a group's primary.
     void primaryHealth(const Core::GroupName &, Health, Core::LogMark, Core::Instant now);
     /// Nothing is in flight any more under records older than this revision.
@@ -117,8 +120,7 @@
     void sendTo(const MemberRecord &, Reply, Core::Instant now);
     void sendToAll(Reply, Core::Instant now);
     [[nodiscard]] Heartbeat makeHeartbeat(const MemberRecord &, Reply, Core::Instant now) const;
-    [[nodiscard]] std::map<Core::TeamName, double>
-    demandShares(const std::map<Core::TeamName, double> &demand) const;
+    void computeShares();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields = {});
 
     FleetSettings self_;
@@ -127,6 +129,8 @@
     std::map<Core::GroupName, GroupState> groups_;
     std::map<Core::GroupName, PromotionPlan> plans_;
     std::map<Core::TeamName, double> demand_;
+    using TeamShares = std::map<Core::TeamName, double>;
+    std::map<Core::NodeName, TeamShares> shares_; ///< While leading; made anew with each beat.
     std::uint64_t configurationVersion_ = 0;
     std::vector<Action> actions_;
     CallId nextCall_ = 1;
@@ -150,6 +154,7 @@
     std::map<Core::NodeName, Core::Instant> memberSince_; ///< Since when this proxy knows it.
     std::map<Core::NodeName, Core::Instant> retiredSince_; ///< Since when it was seen as retired.
     std::map<Core::GroupName, Core::Instant> firstPrimaryWrittenAt_;
+    bool isStoreLost_ = false;
     bool isListed_ = false; ///< Whether the records were ever listed.
     bool isDeposed_ = false; ///< Another leads, though the known record doesn't say so yet.
     bool isLeaving_ = false;
--- a/Libraries/Fleet/FleetEngineBeat.cpp
+++ b/Libraries/Fleet/FleetEngineBeat.cpp
@@ -10,6 +10,7 @@
 void FleetEngine::beat(Core::Instant now)
 {
     nextBeat_ = now + beatInterval;
+    computeShares();
     sendToAll(Reply::NotWanted, now);
 }
 
@@ -36,9 +37,9 @@
     message.wantsReply = reply == Reply::Wanted;
     message.configurationVersion = configurationVersion_;
     message.demand = demand_;
+    if (const auto shares = shares_.find(receiver.node); shares != shares_.end())
+        message.shares = shares->second;
     if (const auto *peer = peers_.find(receiver.node)) {
-        if (isLeader())
-            message.shares = demandShares(peer->last.demand);
         message.echoBoot = peer->last.boot;
         message.echoSentAt = peer->last.sentAt;
         message.echoHeld = now - peer->heardAt;
@@ -65,20 +66,25 @@
     return message;
 }
 
-std::map<Core::TeamName, double>
-FleetEngine::demandShares(const std::map<Core::TeamName, double> &demand) const
+void FleetEngine::computeShares()
 {
-    auto sums = demand_;
+    shares_.clear();
+    if (!isLeader())
+        return;
+    shares_[self_.node] = demand_;
     for (const auto &[node, peer] : peers_.all()) {
-        if (!view_.findMember(node))
-            continue;
-        for (const auto &[team, perSecond] : peer.last.demand)
+        if (view_.findMember(node))
+            shares_[node] = peer.last.demand;
+    }
+    std::map<Core::TeamName, double> sums;
+    for (const auto &[node, demand] : shares_) {
+        for (const auto &[team, perSecond] : demand)
             sums[team] += perSecond;
     }
-    std::map<Core::TeamName, double> shares;
-    for (const auto &[team, perSecond] : demand)
-        shares[team] = perSecond / sums.at(team);
-    return shares;
+    for (auto &[node, demand] : shares_) {
+        for (auto &[team, perSecond] : demand)
+            perSecond /= sums.at(team);
+    }
 }
 
 double FleetEngine::shareOf(const Core::TeamName &team, Core::Instant now) const
@@ -90,8 +96,11 @@
     const auto &leader = view_.leader();
     if (!leader || (!isLeader() && !peers_.isHeard(leader->record.node, peerSilence, now)))
         return even;
-    const auto shares = isLeader() ? demandShares(demand_)
-                                   : peers_.find(leader->record.node)->last.shares;
+    const auto own = shares_.find(self_.node);
+    if (isLeader() && own == shares_.end())
+        return even;
+    const TeamShares &shares =
+        isLeader() ? own->second : peers_.find(leader->record.node)->last.shares;
     const auto share = shares.find(team);
     return (1 - byDemand) * even + byDemand * (share == shares.end() ? 0 : share->second);
 }
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -152,10 +152,11 @@
         return !member || !member->record.isRetired;
     });
     for (const auto &[node, member] : view_.members()) {
-        if (node == self_.node || peers_.isHeard(node, retireAfter, now)
-            || now < memberSince_[node] + retireAfter)
+        if (node == self_.node || peers_.isHeard(node, retireAfter, now))
             continue;
         if (!member.record.isRetired) {
+            if (now < memberSince_[node] + retireAfter)
+                continue;
             MemberRecord retired = member.record;
             retired.isRetired = true;
             memberSince_[node] = now;
@@ -232,6 +233,8 @@
         return {};
     if (primary.record.phase != PrimaryPhase::Active)
         return Reason::Failed;
+    if (isStoreLost_)
+        return {};
     const auto entry = std::ranges::find(state.databases, primary.record.database,
                                          &Sessions::DatabaseEntry::id);
     if (entry != state.databases.end()
@@ -247,7 +250,10 @@
 bool FleetEngine::isFoundDead(const Core::GroupName &group, const GroupState &state,
                               Core::Instant now) const
 {
-    if (!isInTouch(now))
+    // What was suspected in a cut is judged anew after it.
+    if (isStoreLost_ || now < contactSince_ + settleTime || now < startedAt_ + settleTime)
+        return false;
+    if (now >= majoritySeenAt_ + reviewInterval * 2 && now < majoritySeenAt_ + minorityPatience)
         return false;
     std::size_t suspects = state.health == Health::Suspect ? 1 : 0;
     std::size_t healthy = state.health == Health::Healthy ? 1 : 0;
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -17,6 +17,8 @@
 constexpr Core::Duration statusWait = 300_ms;
 /// How long a leaving primary's last commits may take to reach the candidate.
 constexpr Core::Duration catchUpWait = 1'500_ms;
+/// Between two tries of a call that failed.
+constexpr Core::Duration retryInterval = 250_ms;
 /// A call that wasn't answered after this is made again.
 constexpr Core::Duration callWait = 1'500_ms;
 /// An accepted order that shows no effect after this is given again.
@@ -43,7 +45,7 @@
                                            Core::Instant now)
 {
     nextStepAt_ = now + statusInterval;
-    if (call_ != 0 && now < callSentAt_ + callWait)
+    if (now < retryAt_ || (call_ != 0 && now < callSentAt_ + callWait))
         return {};
     call_ = 0;
     switch (step_) {
@@ -202,7 +204,8 @@
     if (outcome == WriteOutcome::Unknown) {
         // Made again after a moment. If it was done after all, the next is a conflict, and the
         // leader starts a new plan from what the store then says.
-        nextStepAt_ = now + statusInterval;
+        retryAt_ = now + retryInterval;
+        nextStepAt_ = retryAt_;
         call_ = 0;
         return;
     }
@@ -238,7 +241,8 @@
         nextStepAt_ = now + statusInterval;
         return;
     }
-    nextStepAt_ = now + statusInterval;
+    retryAt_ = now + retryInterval;
+    nextStepAt_ = retryAt_;
     if (outcome == OrderOutcome::NotRunning) {
         notRunning_.insert(candidate_);
         statuses_.erase(candidate_);
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -107,6 +107,7 @@
     Core::Instant chooseSince_;
     Core::Instant askedAt_;
     Core::Instant nextStepAt_;
+    Core::Instant retryAt_; ///< Nothing is done before, after a call failed.
     std::map<Core::DatabaseName, Sessions::DatabaseStatus> statuses_;
     std::set<Core::DatabaseName> notRunning_;
     Core::DatabaseName candidate_; ///< Chosen by this plan, or by the one that it resumes.
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -14,10 +14,13 @@
 constexpr Core::Duration leaderStoreSilence{6'000};
 /// A member that the leader didn't hear for this long is marked as retired. Longer than the usual
 /// restart of a process.
-constexpr Core::Duration retireAfter{6'000};
+constexpr Core::Duration retireAfter{4'500};
 /// A proxy that hears less than half of the members waits this long before it acts as if they were
 /// gone; a cut between data centres mostly ends sooner.
 constexpr Core::Duration minorityPatience{10'000};
+/// After a loss of the store, suspicions count only when this has passed, in which connections that
+/// broke with it are opened again.
+constexpr Core::Duration settleTime{1'000};
 /// How often conditions are looked at for which nothing else wakes this proxy.
 constexpr Core::Duration reviewInterval{250};
 /// Successors of a leader try one after the other, this far apart, by the order of their names.
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -192,7 +192,13 @@
             [&](const Fleet::WriteRecord &write) { performWrite(write); },
             [&](const Fleet::DeleteRecord &record) {
                 store_->send(Adapter::makeDelete(record), storeCallTime,
-                             [](const Core::ErrorOr<Http::Response> &) {});
+                             [key = record.key](const Core::ErrorOr<Http::Response> &response) {
+                                 Observe::log(Severity::Info, "record_deleted",
+                                              {{"key", key},
+                                               {"status", response
+                                                    ? std::to_string(response->status)
+                                                    : response.error().message}});
+                             });
             },
             [&](const Fleet::SendHeartbeat &send) {
                 peers_->send(send.address, FleetWire::encode(send.message));
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -10,6 +10,11 @@
 /// Callers, databases, and what the store tells.
 namespace Chervilpin::SessionProxy {
 
+namespace {
+/// As the log names the feed of the fleet's records.
+constexpr std::string_view fleetFeed = "fleet";
+} // namespace
+
 namespace asio = boost::asio;
 using boost::system::error_code;
 using Observe::Severity;
@@ -183,6 +188,8 @@
 {
     const auto reachable = [this](std::string_view what) {
         return [this, what = std::string(what)](bool isReachable, const std::string &why) {
+            if (what == fleetFeed)
+                fleet_.storeReachable(isReachable, Core::SteadyClock::now());
             Observe::log(isReachable ? Severity::Info : Severity::Warning,
                          isReachable ? "store_regained" : "store_lost",
                          {{"feed", what}, {"why", why}});
@@ -218,7 +225,7 @@
          [this](const Objects &objects, Core::Instant askedAt) {
              fleetChanged(objects, askedAt, false);
          },
-         reachable("fleet")});
+         reachable(fleetFeed)});
     for (const auto &link : storeLinks_)
         link->start();
 }
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -123,6 +123,7 @@
     /// Checked at each order: proxies that could still use another database.
     std::vector<std::string> broken;
     bool areOrdersAnswered = true;
+    unsigned writes = 0; ///< Calls of the store, answered or not.
     Core::DatabaseName primary{"db-1"}; ///< As the databases see it.
 
 private:
@@ -179,6 +180,7 @@
 
     void writeRecord(const std::string &name, Proxy &proxy, const WriteRecord &write)
     {
+        ++writes;
         if (cutFromStore.contains(name)) {
             proxy.engine->writeEnded(write.id, WriteOutcome::Unknown, 0, now);
             return;
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -215,6 +215,8 @@
     };
     fleet.pass(3_s);
     DOUBLES_EQUAL(1.0, sumOfShares(), 0.01);
+    CHECK(fleet.proxies.at("n3").engine->shareOf(team, fleet.now)
+          > fleet.proxies.at("n1").engine->shareOf(team, fleet.now));
     // The load of trouble-3 in mcr-registry: the team's demand rises everywhere at once.
     for (auto &[name, proxy] : fleet.proxies)
         proxy.engine->setDemand({{team, 500}});
@@ -222,8 +224,6 @@
         CHECK(sumOfShares() <= 1.01);
         fleet.pass(100_ms);
     }
-    CHECK(fleet.proxies.at("n3").engine->shareOf(team, fleet.now)
-          > fleet.proxies.at("n1").engine->shareOf(team, fleet.now));
 }
 
 TEST(FleetEngine, AProxyThatComesBackFromACutNeitherLeadsNorReplaces)
@@ -260,3 +260,33 @@
     STRCMP_EQUAL("db-3", fleet.orders.back().database.value().c_str());
     LONGS_EQUAL(0, fleet.broken.size());
 }
+
+TEST(FleetEngine, AStoreThatRefusesIsNotCalledWithoutPause)
+{
+    // The load of trouble-3 in kcn-jakarta: each write of the leader is reset at once.
+    const std::string leader = fleet.leader();
+    fleet.cutFromStore.insert(leader);
+    failPrimary();
+    const auto before = fleet.writes;
+    fleet.pass(1_s);
+    CHECK(fleet.writes - before <= 6);
+}
+
+TEST(FleetEngine, ALeaderWithoutTheStoreReplacesNothingAndJudgesAnewAfterwards)
+{
+    // The load of trouble-3 in kcn-jakarta: the data centre with most proxies is cut off, and they
+    // suspect primaries that are well.
+    const std::string leader = fleet.leader();
+    fleet.proxies.at(leader).engine->storeReachable(false, fleet.now);
+    fleet.cutFromStore = {"n1", "n2", "n3"};
+    fleet.report(Health::Suspect);
+    fleet.pass(3_s);
+    fleet.cutFromStore.clear();
+    fleet.proxies.at(leader).engine->storeReachable(true, fleet.now);
+    fleet.pass(300_ms);
+    fleet.report(Health::Healthy);
+    const auto before = fleet.writes;
+    fleet.pass(2_s);
+    LONGS_EQUAL(before, fleet.writes);
+    LONGS_EQUAL(3, fleet.users().at("db-1").size());
+}
