--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -17,7 +17,7 @@
 /// How long a proxy may use a primary after the store confirmed its record, at most. A promotion
 /// waits this long for a proxy that can't be reached. Longer bridges longer outages of the store,
 /// shorter shortens a failover that meets a proxy which is cut off.
-constexpr Core::Duration rightDuration{8'000};
+constexpr Core::Duration rightDuration{11'000};
 
 enum class Reason {
     Failed,  ///< The primary answers nobody, or left the directory.
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -97,8 +97,10 @@
                                                                Core::Instant now);
     [[nodiscard]] Connection *findIdle(const Database &, const Core::TeamName &,
                                        const SessionValues &);
+    [[nodiscard]] const Connection *findVictim(const Database &) const;
+    [[nodiscard]] bool isAnyShortlyLent(const Database &, const Core::TeamName &) const;
     [[nodiscard]] bool isOpening(const Database &, const Core::TeamName &) const;
-    void openFor(Database &, const Core::TeamName &, Core::Instant now);
+    void openFor(Database &, const Core::TeamName &, Core::Duration waited, Core::Instant now);
     [[nodiscard]] std::size_t connectionShare(const Database &) const;
     void lend(Session &, Connection &, Core::Instant now);
     void proceed(Session &, Core::Instant now);
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -150,10 +150,13 @@
     if (rate == rates_.end() || rate->second.take(now))
         return true;
     const Core::Duration wait = rate->second.waitForNext();
-    log(Importance::Sampled, "refused_over_rate",
+    log(Importance::Always, "refused_over_rate",
         {{"session", std::to_string(session.id)},
          {"team", session.team.value()},
          {"configuration", std::to_string(table_->version)},
+         {"rate", std::to_string(rate->second.ratePerSecond())},
+         {"share", std::to_string(rate->second.share())},
+         {"demand", std::to_string(rate->second.demandPerSecond(now))},
          {"retry_after_ms", std::to_string(wait.milliseconds())}});
     answer(session,
            {{},
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -193,7 +193,7 @@
             send(connection, Purpose::Status, std::move(status), {}, now);
             return true;
         }
-        openFor(*database, Core::TeamName(), now);
+        openFor(*database, Core::TeamName(), evictionPatience, now);
         return false;
     });
 }
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -106,7 +106,7 @@
     Connection *connection = findIdle(database, session.team, session.state.values());
     if (!connection) {
         if (!isOpening(database, session.team))
-            openFor(database, session.team, now);
+            openFor(database, session.team, now - session.running->arrived, now);
         return false;
     }
     const bool isReplica = group.primary != database.entry.id;
@@ -149,23 +149,56 @@
     return std::max<std::size_t>(1, planned / memberCount_);
 }
 
-void SessionEngine::openFor(Database &database, const Core::TeamName &team, Core::Instant now)
+const Connection *SessionEngine::findVictim(const Database &database) const
+{
+    // Best is the one that rested longest among those whose team has another.
+    std::map<Core::TeamName, unsigned> held;
+    for (const ConnectionId id : database.connections)
+        ++held[connections_.at(id).team];
+    const Connection *victim = nullptr;
+    bool isSpare = false;
+    for (const ConnectionId id : database.connections) {
+        const Connection &connection = connections_.at(id);
+        if (connection.state != Connection::State::Idle)
+            continue;
+        const bool isOneOfMore = held.at(connection.team) > 1;
+        const bool isBetter = isOneOfMore != isSpare ? isOneOfMore
+                                                     : !victim || connection.since < victim->since;
+        if (victim && !isBetter)
+            continue;
+        victim = &connection;
+        isSpare = isOneOfMore;
+    }
+    return victim;
+}
+
+bool SessionEngine::isAnyShortlyLent(const Database &database, const Core::TeamName &team) const
+{
+    return std::ranges::any_of(database.connections, [&](ConnectionId id) {
+        const Connection &connection = connections_.at(id);
+        return connection.team == team && connection.state == Connection::State::Lent
+            && !connection.isInTransaction;
+    });
+}
+
+void SessionEngine::openFor(Database &database, const Core::TeamName &team, Core::Duration waited,
+                            Core::Instant now)
 {
     if (now < database.openAfter)
         return;
     if (database.connections.size() >= connectionShare(database)) {
-        // The idle connection that rested longest makes room; it is of another team.
-        Connection *oldest = nullptr;
-        for (const ConnectionId id : database.connections) {
-            Connection &connection = connections_.at(id);
-            if (connection.state != Connection::State::Idle)
-                continue;
-            if (!oldest || connection.since < oldest->since)
-                oldest = &connection;
-        }
-        if (!oldest)
+        const Connection *victim = findVictim(database);
+        if (!victim)
             return;
-        drop(oldest->id, now);
+        // Opening costs the database as much as a statement. So a connection that was just used is
+        // left to its team, unless the statement has waited for a while.
+        const bool isOwnSoonFree = waited < ownConnectionPatience && isAnyShortlyLent(database, team);
+        const bool isVictimYoung = now < victim->since + restingTime && waited < evictionPatience;
+        if (isOwnSoonFree || isVictimYoung) {
+            scheduleReview(now + evictionPatience);
+            return;
+        }
+        drop(victim->id, now);
     }
     Connection connection;
     connection.id = nextConnection_++;
--- a/Libraries/Sessions/TeamRate.cpp
+++ b/Libraries/Sessions/TeamRate.cpp
@@ -10,6 +10,8 @@
 /// Demand is averaged over about this span: longer than the exchange of shares between proxies, and
 /// shorter than the 5 s window over which the users count a team's operations.
 constexpr Core::Duration demandSpan{1'500};
+/// A process starts with this part of its burst: its predecessor may have spent the whole of it.
+constexpr double initialFill = 0.5;
 /// A share of a small burst is rounded up to one operation, or the team could never start one.
 constexpr double leastCapacity = 1.0;
 
@@ -30,7 +32,7 @@
     refill(now);
     limits_ = limits;
     if (isNew_)
-        tokens_ = capacity();
+        tokens_ = capacity() * initialFill;
     isNew_ = false;
     tokens_ = std::min(tokens_, capacity());
 }
--- a/Libraries/Sessions/TeamRate.h
+++ b/Libraries/Sessions/TeamRate.h
@@ -16,6 +16,8 @@
 
     /// Takes one operation; false if it would exceed the share.
     [[nodiscard]] bool take(Core::Instant now);
+    [[nodiscard]] double ratePerSecond() const { return limits_.ratePerSecond; }
+    [[nodiscard]] double share() const { return share_; }
     /// When the next operation may be taken at the earliest.
     [[nodiscard]] Core::Duration waitForNext() const;
 
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -19,6 +19,13 @@
 constexpr Core::Duration reopenDelay{120};
 /// A database that takes no more connections is left alone for this long.
 constexpr Core::Duration connectionLimitDelay{400};
+/// A connection that rested this long is closed for another team's at once, and a younger one only
+/// for a statement that waited evictionPatience. Opening costs a database about 12 ms of a slot.
+constexpr Core::Duration restingTime{25};
+constexpr Core::Duration evictionPatience{12};
+/// A statement waits this long for a connection of its team that another statement uses, before
+/// one is opened in another team's place.
+constexpr Core::Duration ownConnectionPatience{30};
 /// How long opening a connection may take; the databases take about 12 ms.
 constexpr Core::Duration openTime{1'500};
 /// Connections of a proxy that left are shared by the others after this. Restarts and the
@@ -39,7 +46,7 @@
 /// statement itself, and for the caller to come back elsewhere.
 [[nodiscard]] inline Core::Duration queueTime(const Route &route)
 {
-    return std::min(route.objective / 5, route.statementTimeout / 2);
+    return std::min(route.objective / 2, route.statementTimeout / 2);
 }
 
 } // namespace Chervilpin::Sessions
