--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -70,16 +70,17 @@
 {
     DatabaseEntry entry;
     std::set<ConnectionId> connections;
-    Core::LogMark known;       ///< The end of its log, as last seen.
-    Core::Duration lag;        ///< How old the state was that it last showed.
-    unsigned outstanding = 0;  ///< Statements that take a slot and aren't answered.
+    Core::LogMark known;      ///< The end of its log, as last seen.
+    Core::Duration lag;       ///< How old the state was that it last showed.
+    Core::Instant askedAt;    ///< When a statement was last sent, whose answer shows the lag anew.
+    unsigned outstanding = 0; ///< Statements that take a slot and aren't answered.
     double serviceMilliseconds = 0; ///< From sending to answer, smoothed.
     Core::Instant lastReply;
     Core::Instant troubleSince; ///< Of connections that failed, without an answer since.
     unsigned failures = 0;      ///< Since then.
     Core::Instant openAfter;    ///< No new connection is opened before.
     EvictionPace evictions;
-    bool isGone = false;        ///< Not listed any more; kept while connections are lent.
+    bool isGone = false; ///< Not listed any more; kept while connections are lent.
 };
 
 /// What this proxy knows of a group of databases.
@@ -97,8 +98,8 @@
     Core::Instant releaseBy;       ///< When what is still in flight at an old primary is cut.
     Core::DatabaseName oldPrimary; ///< Until released.
     Core::Instant oldRightUntil;
-    Core::Instant primarySince;   ///< When this proxy learned of the present primary.
-    bool isLapseHandled = false;  ///< What was in flight when the right ended has been cut.
+    Core::Instant primarySince;  ///< When this proxy learned of the present primary.
+    bool isLapseHandled = false; ///< What was in flight when the right ended has been cut.
 
     Core::LogMark highestMark;
     PrimaryHealth health = PrimaryHealth::Unknown;
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -46,7 +46,8 @@
     void grantPrimary(const PrimaryGrant &, Core::Instant now);
     void setMemberCount(std::size_t, Core::Instant now);
     /// Takes over this proxy's fraction of each team's limits.
-    void updateShares(const std::function<double(const Core::TeamName &)> &share, Core::Instant now);
+    void updateShares(const std::function<double(const Core::TeamName &)> &share,
+                      Core::Instant now);
     [[nodiscard]] std::map<Core::TeamName, double> demand(Core::Instant now) const;
     /// Asks for a status as soon as a connection allows; never answered if the database is silent.
     void askStatus(const Core::DatabaseName &, Core::Instant now);
@@ -92,9 +93,10 @@
     void dispatch(Group &, Core::Instant now);
     [[nodiscard]] bool place(Session &, Group &, Core::Instant now);
     [[nodiscard]] Placement::Need needOf(const Session &, const Group &, Core::Instant now) const;
-    [[nodiscard]] std::vector<Placement::Candidate> candidates(const Session &, const Group &,
-                                                               const Placement::Need &,
-                                                               Core::Instant now);
+    [[nodiscard]] std::vector<Placement::Candidate>
+    candidates(const Session &, const Group &, const Placement::Need &, Core::Instant now);
+    [[nodiscard]] static bool isWorthAsking(const Database &replica, const Placement::Need &,
+                                            Core::Instant now);
     [[nodiscard]] Connection *findIdle(const Database &, const Core::TeamName &,
                                        const SessionValues &);
     [[nodiscard]] double evictionRate(const Database &) const;
@@ -149,8 +151,7 @@
     [[nodiscard]] Connection *findConnection(ConnectionId);
     [[nodiscard]] Database *findDatabase(const Core::DatabaseName &);
     [[nodiscard]] Group &groupOf(const Session &);
-    void log(Importance, std::string name,
-             std::vector<std::pair<std::string, std::string>> fields);
+    void log(Importance, std::string name, std::vector<std::pair<std::string, std::string>> fields);
 
     struct Wakeup
     {
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -77,9 +77,7 @@
         // A draining primary goes on until the fleet has replaced it.
         if (isPrimary ? !group.mayUsePrimary(now) : isDraining)
             continue;
-        if (!isPrimary
-            && (need.isPrimaryOnly
-                || !Placement::isExpectedFresh(need, database.known, database.lag)))
+        if (!isPrimary && !isWorthAsking(database, need, now))
             continue;
         Placement::Candidate candidate;
         candidate.index = i;
@@ -95,6 +93,16 @@
     return result;
 }
 
+bool SessionEngine::isWorthAsking(const Database &replica, const Placement::Need &need,
+                                  Core::Instant now)
+{
+    if (need.isPrimaryOnly || !need.mark)
+        return false;
+    // A replica that isn't asked shows nothing of having caught up, so it is tried now and then.
+    return Placement::isExpectedFresh(need, replica.known, replica.lag)
+        || now >= replica.askedAt + lagProbeInterval;
+}
+
 bool SessionEngine::place(Session &session, Group &group, Core::Instant now)
 {
     const auto need = needOf(session, group, now);
@@ -112,6 +120,7 @@
     const bool isReplica = group.primary != database.entry.id;
     session.running->isOnReplica = isReplica;
     session.running->atLeast = isReplica ? need.mark : std::nullopt;
+    database.askedAt = now;
     lend(session, *connection, now);
     return true;
 }
@@ -168,8 +177,8 @@
         if (connection.state != Connection::State::Idle)
             continue;
         const bool isOneOfMore = held.at(connection.team) > 1;
-        const bool isBetter = isOneOfMore != isSpare ? isOneOfMore
-                                                     : !victim || connection.since < victim->since;
+        const bool isBetter =
+            isOneOfMore != isSpare ? isOneOfMore : !victim || connection.since < victim->since;
         if (victim && !isBetter)
             continue;
         victim = &connection;
@@ -198,7 +207,8 @@
             return;
         // Opening costs the database as much as a statement. So a connection that was just used is
         // left to its team, unless the statement has waited for a while.
-        const bool isOwnSoonFree = waited < ownConnectionPatience && isAnyShortlyLent(database, team);
+        const bool isOwnSoonFree =
+            waited < ownConnectionPatience && isAnyShortlyLent(database, team);
         const bool isVictimYoung = now < victim->since + restingTime && waited < evictionPatience;
         if (isOwnSoonFree || isVictimYoung) {
             scheduleReview(now + evictionPatience);
@@ -269,8 +279,8 @@
         sent.name = connection.context.nameOf(*shape);
     // In a transaction its beginning has proved how fresh the log is.
     const bool isSingle = session.transaction == TransactionStage::None;
-    send(connection, Purpose::Caller, std::move(sent),
-         isSingle ? operation.atLeast : std::nullopt, now);
+    send(connection, Purpose::Caller, std::move(sent), isSingle ? operation.atLeast : std::nullopt,
+         now);
 }
 
 void SessionEngine::send(Connection &connection, Purpose purpose, Statement statement,
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -42,6 +42,8 @@
 constexpr Core::Duration replaceGrace{250};
 /// A read is repeated elsewhere this often at the most.
 constexpr unsigned maximumAttempts = 4;
+/// A replica that seems too far behind is tried with a read this often; a refusal costs it no slot.
+constexpr Core::Duration lagProbeInterval{200};
 /// Reads are proved fresh for an age this much lower than stated, for the way to the database.
 constexpr Core::Duration ageMargin{100};
 /// How long a withdrawn key's running transaction may go on; the users ask for seconds.
--- a/Tests/Adapter/TestSessionCodec.cpp
+++ b/Tests/Adapter/TestSessionCodec.cpp
@@ -1,6 +1,8 @@
 #include <platform/LineBuffer.h>
 #include <platform/SessionCodec.h>
 
+#include <Tests/Fakes/LogMarks.h>
+
 #include <CppUTest/TestHarness.h>
 
 #include <string>
@@ -97,7 +99,7 @@
     const auto reply = replyOf({"ROW qhz kw", "COMPLETE 7.1f3", "READY T 3.1209"});
     STRCMP_EQUAL("ROW qhz kw\r\nCOMPLETE 7.1f3\r\n", reply.body.c_str());
     CHECK(!reply.failure && reply.state == TransactionState::Open);
-    CHECK(reply.mark == Core::LogMark(3, 1209));
+    CHECK(reply.mark == Fakes::logMark(3, 1209));
 }
 
 TEST(SessionCodec, FailuresAreReadByTheirCode)
@@ -127,7 +129,7 @@
     const auto reply = replyOf({"ROW replica 3 3.1209 0 12 2 17", "COMPLETE -", "READY I 3.1204"});
     CHECK(reply.status.has_value());
     CHECK(reply.status->role == DatabaseRole::Replica && reply.status->term == 3);
-    CHECK(reply.status->received == Core::LogMark(3, 1209));
+    CHECK(reply.status->received == Fakes::logMark(3, 1209));
 }
 
 TEST(SessionCodec, GarbageOfADatabaseIsRefused)
--- a/Tests/FleetWire/TestHeartbeatCodec.cpp
+++ b/Tests/FleetWire/TestHeartbeatCodec.cpp
@@ -1,5 +1,7 @@
 #include <FleetWire/HeartbeatCodec.h>
 
+#include <Tests/Fakes/LogMarks.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Chervilpin;
@@ -35,7 +37,7 @@
     const auto &primary = read->primaries.front();
     CHECK(primary.phase == Fleet::PrimaryPhase::Ordered && primary.adopted == 2);
     CHECK(primary.candidate == report.candidate);
-    CHECK(primary.health == Fleet::Health::Suspect && primary.mark == Core::LogMark(4, 5));
+    CHECK(primary.health == Fleet::Health::Suspect && primary.mark == Fakes::logMark(4, 5));
     DOUBLES_EQUAL(0.25, read->shares.at(Core::TeamName("u")), 0.001);
     DOUBLES_EQUAL(12.3, read->demand.at(Core::TeamName("t")), 0.05);
 }
--- a/Tests/Sessions/EngineFixture.h
+++ b/Tests/Sessions/EngineFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Core/Verify.h>
 #include <Sessions/SessionEngine.h>
 
 #include <map>
@@ -148,6 +149,9 @@
         const SessionId session = open("latest");
         say(session, StatementKind::Read, "1");
         const auto statements = sent();
+        VERIFY(!statements.empty());
+        // The usual time of a statement, by which the primary's load is judged.
+        pass(Core::Duration(12));
         done(statements.back().connection, mark);
         (void)take();
         engine.sessionClosed(session, now);
--- a/Tests/Sessions/TestFreshnessLedger.cpp
+++ b/Tests/Sessions/TestFreshnessLedger.cpp
@@ -1,5 +1,7 @@
 #include <Sessions/FreshnessLedger.h>
 
+#include <Tests/Fakes/LogMarks.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Chervilpin;
@@ -20,8 +22,8 @@
     ledger.add(start, {1, 10});
     ledger.add(start + 500_ms, {1, 20});
     ledger.add(start + 1'000_ms, {1, 30});
-    CHECK(ledger.requiredFor(800_ms, start + 1'200_ms) == Core::LogMark(1, 20));
-    CHECK(ledger.requiredFor(1'500_ms, start + 1'200_ms) == Core::LogMark(1, 10));
+    CHECK(ledger.requiredFor(800_ms, start + 1'200_ms) == Fakes::logMark(1, 20));
+    CHECK(ledger.requiredFor(1'500_ms, start + 1'200_ms) == Fakes::logMark(1, 10));
     CHECK(!ledger.requiredFor(100_ms, start + 1'200_ms).has_value());
 }
 
@@ -29,7 +31,7 @@
 {
     ledger.add(start, {1, 50});
     ledger.add(start + 100_ms, {2, 40});
-    CHECK(ledger.requiredFor(5'000_ms, start + 200_ms) == Core::LogMark(2, 40));
+    CHECK(ledger.requiredFor(5'000_ms, start + 200_ms) == Fakes::logMark(2, 40));
     ledger.add(start + 150_ms, {1, 60});
     CHECK(ledger.requiredFor(20_ms, start + 200_ms) == std::nullopt);
 }
@@ -37,9 +39,9 @@
 TEST(FreshnessLedger, AnOwnCommitOfAnOlderTermBecomesTheFirstSampleOfTheNewOne)
 {
     ledger.add(start, {1, 50});
-    CHECK(ledger.requiredForOwn({1, 55}) == Core::LogMark(1, 55));
+    CHECK(ledger.requiredForOwn({1, 55}) == Fakes::logMark(1, 55));
     ledger.add(start + 100_ms, {2, 52});
-    CHECK(ledger.requiredForOwn({1, 55}) == Core::LogMark(2, 52));
+    CHECK(ledger.requiredForOwn({1, 55}) == Fakes::logMark(2, 52));
 }
 
 TEST(FreshnessLedger, AgeIsCountedFromTheFirstSampleThatTheLogLacks)
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -1,5 +1,7 @@
 #include "EngineFixture.h"
 
+#include <Tests/Fakes/LogMarks.h>
+
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
@@ -42,7 +44,7 @@
     const auto answers = fixture.answers();
     LONGS_EQUAL(1, answers.size());
     STRCMP_EQUAL("rows", answers.front().body.c_str());
-    CHECK(answers.front().mark == Core::LogMark(1, 7));
+    CHECK(answers.front().mark == Fakes::logMark(1, 7));
 }
 
 TEST(SessionEngine, CallersThatMayNotEnterAreToldWhy)
@@ -79,7 +81,7 @@
         for (const auto &statement : sent) {
             if (statement.atLeast) {
                 CHECK(fixture.databaseOf.at(statement.connection) != fixture.primary);
-                CHECK(*statement.atLeast == Core::LogMark(1, 10));
+                CHECK(*statement.atLeast == Fakes::logMark(1, 10));
                 return;
             }
             fixture.done(statement.connection, {1, 10});
@@ -154,7 +156,6 @@
 {
     // The load of trouble-2 in kcn-jakarta: connections of all databases break in a cut.
     fixture.isOpening = false;
-    fixture.sample({1, 1});
     for (int i = 0; i < 3; ++i) {
         const auto session = fixture.open("own");
         fixture.say(session, StatementKind::Write, "1 x");
@@ -332,7 +333,7 @@
     fixture.say(session, StatementKind::Read, "1");
     for (const auto &statement : fixture.sent()) {
         const bool isOnPrimary = fixture.databaseOf.at(statement.connection) == fixture.primary;
-        CHECK(isOnPrimary || (statement.atLeast && *statement.atLeast >= Core::LogMark(1, 9)));
+        CHECK(isOnPrimary || (statement.atLeast && *statement.atLeast >= Fakes::logMark(1, 9)));
     }
 }
 
@@ -373,3 +374,35 @@
     LONGS_EQUAL(1, sent.size());
     CHECK(sent.front().statement.kind == StatementKind::Rollback);
 }
+
+TEST(SessionEngine, AReplicaThatHasCaughtUpIsFoundOut)
+{
+    // The load of scale-1 in kcn-jakarta, seed 11: after a lag of the replicas ended, all reads
+    // stayed on the primary for the rest of the day.
+    fixture.marks[fixture.replica] = {1, 1};
+    fixture.marks[fixture.otherReplica] = {1, 1};
+    unsigned onReplicas = 0;
+    for (unsigned i = 1; i <= 60; ++i) {
+        fixture.sample({1, i * 10});
+        const auto session = fixture.open("aged");
+        fixture.say(session, StatementKind::Read, "1");
+        // Tries that replicas refuse come first, then the one that is answered.
+        for (int attempt = 0; attempt < 4; ++attempt) {
+            for (const auto &statement : fixture.sent()) {
+                const bool isReplica = statement.atLeast.has_value();
+                const bool isLagging = i < 30;
+                fixture.pass(Core::Duration(isReplica && isLagging ? 1 : 12));
+                if (isReplica && isLagging)
+                    fixture.failed(statement.connection, Failure::Lagging);
+                else
+                    fixture.done(statement.connection, {1, i * 10});
+                onReplicas += isReplica && !isLagging ? 1 : 0;
+            }
+            fixture.pass(Core::Duration(1));
+        }
+        fixture.pass(Core::Duration(30));
+        fixture.engine.sessionClosed(session, fixture.now);
+        (void)fixture.take();
+    }
+    CHECK(onReplicas >= 20);
+}
