--- a/Libraries/Observe/LineWriter.cpp
+++ b/Libraries/Observe/LineWriter.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 /// So many bytes are written with one system call.
-constexpr std::size_t gatherBytes = 4 * 1024;
+constexpr std::size_t gatherBytes = std::size_t{4} * 1024;
 /// What is kept for a reader that is behind.
-constexpr std::size_t maximumGatheredBytes = 256 * 1024;
+constexpr std::size_t maximumGatheredBytes = std::size_t{256} * 1024;
 } // namespace
 
 LineWriter::LineWriter(int descriptor)
--- a/Services/SessionProxy/LineConnection.cpp
+++ b/Services/SessionProxy/LineConnection.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// One read takes this much; lines are mostly far shorter.
-constexpr std::size_t readBytesAtOnce = 16 * 1024;
+constexpr std::size_t readBytesAtOnce = std::size_t{16} * 1024;
 /// A reader that is behind by more than this is taken as gone.
 constexpr std::size_t maximumOutputBytes = std::size_t{4} * 1024 * 1024;
 
--- a/Services/SessionProxy/PeerSocket.cpp
+++ b/Services/SessionProxy/PeerSocket.cpp
@@ -12,7 +12,7 @@
 using Core::ErrorCode;
 
 namespace {
-constexpr std::size_t maximumDatagramBytes = 64 * 1024;
+constexpr std::size_t maximumDatagramBytes = std::size_t{64} * 1024;
 } // namespace
 
 PeerSocket::PeerSocket(asio::ip::udp::socket socket, Handler handler)
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -130,9 +130,9 @@
     void list(Proxy &proxy)
     {
         std::vector<StoredText> all;
-        for (const auto &[key, object] : objects)
+        for (const auto &[key, object] : objects_)
             all.push_back(object);
-        proxy.seen = revision;
+        proxy.seen = revision_;
         proxy.engine->recordsListed(all, now, now);
     }
 
@@ -140,13 +140,13 @@
     {
         constexpr Core::Duration quiet{1'000};
         std::vector<StoredText> changes;
-        for (const auto &[key, object] : objects) {
+        for (const auto &[key, object] : objects_) {
             if (object.revision > proxy.seen)
                 changes.push_back(object);
         }
         if (changes.empty() && now < proxy.watchedAt + quiet)
             return;
-        proxy.seen = revision;
+        proxy.seen = revision_;
         proxy.watchedAt = now;
         proxy.engine->recordsChanged(changes, now, now);
     }
@@ -185,23 +185,23 @@
             proxy.engine->writeEnded(write.id, WriteOutcome::Unknown, 0, now);
             return;
         }
-        auto &object = objects[keyOf(write.record)];
+        auto &object = objects_[keyOf(write.record)];
         const Revision present = object.isDeleted ? 0 : object.revision;
         if (present != write.expected) {
             proxy.engine->writeEnded(write.id, WriteOutcome::Conflict, 0, now);
             return;
         }
-        object = {keyOf(write.record), encode(write.record), ++revision, false};
-        proxy.engine->writeEnded(write.id, WriteOutcome::Done, revision, now);
+        object = {keyOf(write.record), encode(write.record), ++revision_, false};
+        proxy.engine->writeEnded(write.id, WriteOutcome::Done, revision_, now);
     }
 
     void deleteRecord(const std::string &name, const DeleteRecord &record)
     {
-        auto &object = objects[record.key];
+        auto &object = objects_[record.key];
         if (cutFromStore.contains(name) || object.revision != record.expected)
             return;
         object.isDeleted = true;
-        object.revision = ++revision;
+        object.revision = ++revision_;
     }
 
     void deliver(const std::string &from, const SendHeartbeat &send)
@@ -248,8 +248,8 @@
             proxy.engine->primaryReleased(right.group, right.revision, now);
     }
 
-    std::map<std::string, StoredText> objects;
-    Revision revision = 0;
+    std::map<std::string, StoredText> objects_;
+    Revision revision_ = 0;
 };
 
 } // namespace Chervilpin::Fleet::Testing
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -79,7 +79,7 @@
         cut.report(Health::Suspect);
         cut.pass(4_s);
         CHECK_TEXT(cut.orders.empty(), row.name);
-        cut.pass(6_s);
+        cut.pass(rightDuration);
         CHECK_TEXT(!cut.orders.empty(), row.name);
         CHECK_TEXT(cut.broken.empty(), row.name);
     }
@@ -95,9 +95,9 @@
 TEST(FleetEngine, WithoutTheStoreRightsLapse)
 {
     fleet.cutFromStore = {"n1", "n2", "n3"};
-    fleet.pass(6_s);
+    fleet.pass(rightDuration - 2_s);
     LONGS_EQUAL(3, fleet.users().at("db-1").size());
-    fleet.pass(4_s);
+    fleet.pass(2_s);
     LONGS_EQUAL(0, fleet.users().size());
 }
 
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -382,7 +382,7 @@
     fixture.marks[fixture.replica] = {1, 1};
     fixture.marks[fixture.otherReplica] = {1, 1};
     unsigned onReplicas = 0;
-    for (unsigned i = 1; i <= 60; ++i) {
+    for (Core::LogPosition i = 1; i <= 60; ++i) {
         fixture.sample({1, i * 10});
         const auto session = fixture.open("aged");
         fixture.say(session, StatementKind::Read, "1");
