A quiet watch confirms as of its end; watches are quiet for longer

Ruled out: lost heartbeats (shares came).

Change: an answer without changes, which the store holds back for the whole wait, is as of the wait's end. Watches wait 4 s and 9 s; when that of the fleet fails, the others list anew.

--- a/Libraries/Fleet/StoreFeed.cpp
+++ b/Libraries/Fleet/StoreFeed.cpp
@@ -9,6 +9,8 @@
 /// How long a call may take beside its own wait. The store answers in 4 ms, and at times a hundred
 /// times slower.
 constexpr Core::Duration answerTime{1'200};
+/// The store's clock may run a little faster than the own.
+constexpr Core::Duration clockTolerance{100};
 constexpr Core::Duration firstDelay{150};
 /// Bounds the calls that an unreachable store is charged with, and how late its return is noticed.
 constexpr Core::Duration longestDelay{600};
@@ -52,6 +54,13 @@
     since_ = storeRevision;
 }
 
+Core::Instant StoreFeed::confirmedAt(Core::Instant askedAt, bool hasChanges,
+                                     Core::Instant now) const
+{
+    const Core::Instant heldUntil = askedAt + wait_ - clockTolerance;
+    return hasChanges || now < heldUntil ? askedAt : heldUntil;
+}
+
 void StoreFeed::restart()
 {
     isListing_ = true;
--- a/Libraries/Fleet/StoreFeed.h
+++ b/Libraries/Fleet/StoreFeed.h
@@ -44,6 +44,11 @@
     /// A page of a list came.
     Position listed(std::string lastName, bool hasMore, Revision storeRevision);
     void changed(Revision storeRevision);
+
+    /// The moment as of which a watch's answer is known to be true. An answer with changes is as of
+    /// its question. One without was held back for the whole wait, and is as of the wait's end.
+    [[nodiscard]] Core::Instant confirmedAt(Core::Instant askedAt, bool hasChanges,
+                                            Core::Instant now) const;
     /// The history is gone, or something newer than this feed is known to exist.
     void restart();
     void failed();
--- a/Services/SessionProxy/LineConnection.cpp
+++ b/Services/SessionProxy/LineConnection.cpp
@@ -37,8 +37,7 @@
     waitForBytes();
 }
 
-void LineConnection::connect(const asio::ip::tcp::endpoint &endpoint,
-                             std::function<void()> opened)
+void LineConnection::connect(const asio::ip::tcp::endpoint &endpoint, std::function<void()> opened)
 {
     isConnecting_ = true;
     socket_.async_connect(
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -57,11 +57,11 @@
         [this](const Http::Request &request, const Http::Responder &responder) {
             answerReady(request, responder);
         }));
-    metricsServer_ = TRY(Http::Server::create(
-        context_, settings_.metricsListen, Http::ServerLimits(),
-        [this](const Http::Request &, const Http::Responder &responder) {
-            answerMetrics(responder);
-        }));
+    metricsServer_ =
+        TRY(Http::Server::create(context_, settings_.metricsListen, Http::ServerLimits(),
+                                 [this](const Http::Request &, const Http::Responder &responder) {
+                                     answerMetrics(responder);
+                                 }));
     peers_ = TRY(PeerSocket::create(context_, settings_.peerListen, [this](std::string_view text) {
         const auto heartbeat = FleetWire::decode(text);
         if (!heartbeat) {
@@ -132,90 +132,89 @@
 void Node::perform(Sessions::Action &action)
 {
     const Core::Instant now = Core::SteadyClock::now();
-    std::visit(
-        Core::Overloaded{
-            [&](const Sessions::AcceptSession &accept) {
-                const auto caller = callers_.find(accept.session);
-                if (caller != callers_.end())
-                    caller->second.connection->send(
-                        Adapter::encodeReady(Sessions::TransactionState::None, {}));
-            },
-            [&](const Sessions::AnswerSession &answer) {
-                const auto caller = callers_.find(answer.session);
-                if (caller != callers_.end())
-                    caller->second.connection->send(Adapter::encode(answer));
-            },
-            [&](const Sessions::EndSession &end) {
-                const auto caller = callers_.find(end.session);
-                if (caller == callers_.end())
-                    return;
-                const auto connection = caller->second.connection;
-                if (end.failure)
-                    connection->send(Adapter::encodeError(*end.failure, end.text));
-                connection->finish();
-                callerClosed(end.session);
-            },
-            [&](const Sessions::OpenConnection &open) { openDatabase(open); },
-            [&](const Sessions::CloseConnection &close) {
-                const auto link = databases_.find(close.connection);
-                if (link == databases_.end())
-                    return;
-                link->second.connection->reset();
-                databases_.erase(link);
-            },
-            [&](const Sessions::SendStatement &send) {
-                const auto link = databases_.find(send.connection);
-                if (link != databases_.end())
-                    link->second.connection->send(Adapter::encode(send));
-            },
-            [&](const Sessions::ReportHealth &report) {
-                fleet_.primaryHealth(report.group, report.health, report.mark, now);
-            },
-            [&](const Sessions::ReportReleased &report) {
-                fleet_.primaryReleased(report.group, report.revision, now);
-            },
-            [&](const Sessions::ReportStatus &report) {
-                fleet_.statusAnswered(report.database, report.status, now);
-            },
-            [&](const Sessions::LogLine &line) { write(line); },
-            [&](const Sessions::CountOutcome &outcome) { count(outcome); },
-        },
-        action);
+    std::visit(Core::Overloaded{
+                   [&](const Sessions::AcceptSession &accept) {
+                       const auto caller = callers_.find(accept.session);
+                       if (caller != callers_.end())
+                           caller->second.connection->send(
+                               Adapter::encodeReady(Sessions::TransactionState::None, {}));
+                   },
+                   [&](const Sessions::AnswerSession &answer) {
+                       const auto caller = callers_.find(answer.session);
+                       if (caller != callers_.end())
+                           caller->second.connection->send(Adapter::encode(answer));
+                   },
+                   [&](const Sessions::EndSession &end) {
+                       const auto caller = callers_.find(end.session);
+                       if (caller == callers_.end())
+                           return;
+                       const auto connection = caller->second.connection;
+                       if (end.failure)
+                           connection->send(Adapter::encodeError(*end.failure, end.text));
+                       connection->finish();
+                       callerClosed(end.session);
+                   },
+                   [&](const Sessions::OpenConnection &open) { openDatabase(open); },
+                   [&](const Sessions::CloseConnection &close) {
+                       const auto link = databases_.find(close.connection);
+                       if (link == databases_.end())
+                           return;
+                       link->second.connection->reset();
+                       databases_.erase(link);
+                   },
+                   [&](const Sessions::SendStatement &send) {
+                       const auto link = databases_.find(send.connection);
+                       if (link != databases_.end())
+                           link->second.connection->send(Adapter::encode(send));
+                   },
+                   [&](const Sessions::ReportHealth &report) {
+                       fleet_.primaryHealth(report.group, report.health, report.mark, now);
+                   },
+                   [&](const Sessions::ReportReleased &report) {
+                       fleet_.primaryReleased(report.group, report.revision, now);
+                   },
+                   [&](const Sessions::ReportStatus &report) {
+                       fleet_.statusAnswered(report.database, report.status, now);
+                   },
+                   [&](const Sessions::LogLine &line) { write(line); },
+                   [&](const Sessions::CountOutcome &outcome) { count(outcome); },
+               },
+               action);
     fleet_.advance(now);
 }
 
 void Node::perform(const Fleet::Action &action)
 {
     const Core::Instant now = Core::SteadyClock::now();
-    std::visit(
-        Core::Overloaded{
-            [&](const Fleet::WriteRecord &write) { performWrite(write); },
-            [&](const Fleet::DeleteRecord &record) {
-                store_->send(Adapter::makeDelete(record), storeCallTime,
-                             [key = record.key](const Core::ErrorOr<Http::Response> &response) {
-                                 Observe::log(Severity::Info, "record_deleted",
-                                              {{"key", key},
-                                               {"status", response
-                                                    ? std::to_string(response->status)
-                                                    : response.error().message}});
-                             });
-            },
-            [&](const Fleet::SendHeartbeat &send) {
-                peers_->send(send.address, FleetWire::encode(send.message));
-            },
-            [&](const Fleet::OrderPromotion &order) { performOrder(order); },
-            [&](const Fleet::AskStatus &ask) { sessions_.askStatus(ask.database, now); },
-            [&](const Fleet::PrimaryRight &right) {
-                sessions_.grantPrimary({right.group, right.revision, right.database,
-                                        right.phase == Fleet::PrimaryPhase::Active,
-                                        right.validUntil},
-                                       now);
-            },
-            [&](const Fleet::Event &event) {
-                Observe::log(Severity::Info, event.name, toFields(event.fields));
-            },
-        },
-        action);
+    std::visit(Core::Overloaded{
+                   [&](const Fleet::WriteRecord &write) { performWrite(write); },
+                   [&](const Fleet::DeleteRecord &record) {
+                       store_->send(
+                           Adapter::makeDelete(record), storeCallTime,
+                           [key = record.key](const Core::ErrorOr<Http::Response> &response) {
+                               Observe::log(Severity::Info, "record_deleted",
+                                            {{"key", key},
+                                             {"status",
+                                              response ? std::to_string(response->status)
+                                                       : response.error().message}});
+                           });
+                   },
+                   [&](const Fleet::SendHeartbeat &send) {
+                       peers_->send(send.address, FleetWire::encode(send.message));
+                   },
+                   [&](const Fleet::OrderPromotion &order) { performOrder(order); },
+                   [&](const Fleet::AskStatus &ask) { sessions_.askStatus(ask.database, now); },
+                   [&](const Fleet::PrimaryRight &right) {
+                       sessions_.grantPrimary({right.group, right.revision, right.database,
+                                               right.phase == Fleet::PrimaryPhase::Active,
+                                               right.validUntil},
+                                              now);
+                   },
+                   [&](const Fleet::Event &event) {
+                       Observe::log(Severity::Info, event.name, toFields(event.fields));
+                   },
+               },
+               action);
 }
 
 void Node::performWrite(const Fleet::WriteRecord &write)
@@ -242,7 +241,8 @@
 
 void Node::count(const Sessions::CountOutcome &outcome)
 {
-    metrics_.add("chervilpin_statements_total", "outcome=\"" + outcome.outcome + "\",on=\""
+    metrics_.add("chervilpin_statements_total",
+                 "outcome=\"" + outcome.outcome + "\",on=\""
                      + (outcome.isOnReplica ? "replica" : "primary") + "\"");
     constexpr std::int64_t microseconds = 1'000;
     metrics_.record("chervilpin_statement_microseconds", "",
@@ -256,10 +256,9 @@
     if (line.importance == Sessions::Importance::Sampled) {
         const Core::Instant now = Core::SteadyClock::now();
         const double perMillisecond = settings_.sampledLinesPerSecond / 1'000.0;
-        samples_ = std::min(settings_.sampledLinesPerSecond,
-                            samples_
-                                + perMillisecond
-                                    * static_cast<double>((now - sampleAt_).milliseconds()));
+        samples_ = std::min(
+            settings_.sampledLinesPerSecond,
+            samples_ + perMillisecond * static_cast<double>((now - sampleAt_).milliseconds()));
         sampleAt_ = now;
         if (samples_ < 1) {
             ++linesLeftOut_;
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -75,6 +75,7 @@
 
     // Platform and peers.
     void startStoreLinks();
+    void fleetFeedChanged(bool isReachable);
     void configurationListed(const std::vector<Adapter::StoreObject> &);
     void directoryListed(const std::vector<Adapter::StoreObject> &);
     void directoryChanged(const std::vector<Adapter::StoreObject> &);
@@ -113,6 +114,7 @@
     std::unique_ptr<PeerSocket> peers_;
     std::vector<std::unique_ptr<StoreLink>> storeLinks_;
     StoreLink *configurationLink_ = nullptr;
+    StoreLink *fleetLink_ = nullptr;
     std::unordered_map<Sessions::SessionId, Caller> callers_;
     std::unordered_map<Sessions::ConnectionId, DatabaseLink> databases_;
     Sessions::DirectoryView directory_;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -60,9 +60,15 @@
     }
     const Sessions::SessionId id = nextSession_++;
     LineConnection::Handlers handlers;
-    handlers.line = [this, id](std::string_view line) { callerLine(id, line); };
-    handlers.closed = [this, id] { callerClosed(id); };
-    handlers.batchEnded = [this] { pump(); };
+    handlers.line = [this, id](std::string_view line) {
+        callerLine(id, line);
+    };
+    handlers.closed = [this, id] {
+        callerClosed(id);
+    };
+    handlers.batchEnded = [this] {
+        pump();
+    };
     const auto connection =
         std::make_shared<LineConnection>(std::move(socket), std::move(handlers));
     callers_[id].connection = connection;
@@ -82,36 +88,35 @@
         connection->finish();
         callerClosed(id);
     };
-    std::visit(
-        Core::Overloaded{
-            [&](const Adapter::ConnectMessage &message) {
-                if (caller.isConnected) {
-                    refuse(Sessions::Failure::Malformed, "the session is open already");
-                    return;
-                }
-                caller.isConnected = true;
-                sessions_.sessionOpened(id, message.databaseName, message.key, now);
-            },
-            [&](Sessions::Statement &statement) {
-                if (caller.isConnected)
-                    sessions_.statement(id, std::move(statement), now);
-                else
-                    refuse(Sessions::Failure::Malformed, "the session isn't open yet");
-            },
-            [&](const Adapter::ReleaseMessage &) {
-                const auto connection = caller.connection;
-                connection->finish();
-                callerClosed(id);
-            },
-            [&](const Adapter::MalformedMessage &) {
-                refuse(Sessions::Failure::Malformed, "the message can't be understood");
-            },
-        },
-        [&]() -> Adapter::CallerMessage & {
-            static Adapter::CallerMessage message;
-            message = Adapter::decodeCallerLine(line);
-            return message;
-        }());
+    std::visit(Core::Overloaded{
+                   [&](const Adapter::ConnectMessage &message) {
+                       if (caller.isConnected) {
+                           refuse(Sessions::Failure::Malformed, "the session is open already");
+                           return;
+                       }
+                       caller.isConnected = true;
+                       sessions_.sessionOpened(id, message.databaseName, message.key, now);
+                   },
+                   [&](Sessions::Statement &statement) {
+                       if (caller.isConnected)
+                           sessions_.statement(id, std::move(statement), now);
+                       else
+                           refuse(Sessions::Failure::Malformed, "the session isn't open yet");
+                   },
+                   [&](const Adapter::ReleaseMessage &) {
+                       const auto connection = caller.connection;
+                       connection->finish();
+                       callerClosed(id);
+                   },
+                   [&](const Adapter::MalformedMessage &) {
+                       refuse(Sessions::Failure::Malformed, "the message can't be understood");
+                   },
+               },
+               [&]() -> Adapter::CallerMessage & {
+                   static Adapter::CallerMessage message;
+                   message = Adapter::decodeCallerLine(line);
+                   return message;
+               }());
 }
 
 void Node::callerClosed(Sessions::SessionId id)
@@ -132,9 +137,15 @@
     }
     const Sessions::ConnectionId id = open.connection;
     LineConnection::Handlers handlers;
-    handlers.line = [this, id](std::string_view line) { databaseLine(id, line); };
-    handlers.closed = [this, id] { databaseClosed(id, {}); };
-    handlers.batchEnded = [this] { pump(); };
+    handlers.line = [this, id](std::string_view line) {
+        databaseLine(id, line);
+    };
+    handlers.closed = [this, id] {
+        databaseClosed(id, {});
+    };
+    handlers.batchEnded = [this] {
+        pump();
+    };
     const auto connection =
         std::make_shared<LineConnection>(asio::ip::tcp::socket(context_), std::move(handlers));
     databases_[id].connection = connection;
@@ -189,7 +200,7 @@
     const auto reachable = [this](std::string_view what) {
         return [this, what = std::string(what)](bool isReachable, const std::string &why) {
             if (what == fleetFeed)
-                fleet_.storeReachable(isReachable, Core::SteadyClock::now());
+                fleetFeedChanged(isReachable);
             Observe::log(isReachable ? Severity::Info : Severity::Warning,
                          isReachable ? "store_regained" : "store_lost",
                          {{"feed", what}, {"why", why}});
@@ -218,18 +229,28 @@
              pump();
          },
          reachable("directory")});
-    add(Adapter::StoreKind::Fleet, fleetWatch,
-        {[this](const Objects &objects, Core::Instant askedAt) {
-             fleetChanged(objects, askedAt, true);
-         },
-         [this](const Objects &objects, Core::Instant askedAt) {
-             fleetChanged(objects, askedAt, false);
-         },
-         reachable(fleetFeed)});
+    fleetLink_ = add(Adapter::StoreKind::Fleet, fleetWatch,
+                     {[this](const Objects &objects, Core::Instant askedAt) {
+                          fleetChanged(objects, askedAt, true);
+                      },
+                      [this](const Objects &objects, Core::Instant askedAt) {
+                          fleetChanged(objects, askedAt, false);
+                      },
+                      reachable(fleetFeed)});
     for (const auto &link : storeLinks_)
         link->start();
 }
 
+void Node::fleetFeedChanged(bool isReachable)
+{
+    fleet_.storeReachable(isReachable, Core::SteadyClock::now());
+    // Their watches may hang on connections that went silent with this one.
+    for (const auto &link : storeLinks_) {
+        if (link.get() != fleetLink_)
+            link->refresh();
+    }
+}
+
 void Node::configurationListed(const std::vector<Adapter::StoreObject> &objects)
 {
     for (const auto &object : objects) {
@@ -237,9 +258,9 @@
             continue;
         auto table = Adapter::readRoutingTable(object.content);
         if (!table) {
-            Observe::log(Severity::Warning, "configuration_unreadable",
-                         {{"revision", std::to_string(object.revision)},
-                          {"why", table.error().message}});
+            Observe::log(
+                Severity::Warning, "configuration_unreadable",
+                {{"revision", std::to_string(object.revision)}, {"why", table.error().message}});
             continue;
         }
         // A version never gives way to an older one in the life of a process.
--- a/Services/SessionProxy/NodeTiming.h
+++ b/Services/SessionProxy/NodeTiming.h
@@ -8,11 +8,12 @@
 constexpr Core::Duration storeCallTime{1'200};
 /// The same for an order to promote.
 constexpr Core::Duration promotionCallTime{1'500};
-/// How long a watch is quiet. Each bounds how late a silent connection to the store is noticed,
-/// which has to be well within the users' bound for configuration.
-constexpr Core::Duration fleetWatch{2'000};
-constexpr Core::Duration configurationWatch{2'500};
-constexpr Core::Duration directoryWatch{2'500};
+/// How long a watch is quiet. That of the fleet's records bounds how late silent connections to the
+/// store are noticed, and the other feeds list anew when it fails; so it is well within the users'
+/// bounds of 3 s for configuration and 4 s of calm before that. Each call is paid for.
+constexpr Core::Duration fleetWatch{4'000};
+constexpr Core::Duration configurationWatch{9'000};
+constexpr Core::Duration directoryWatch{9'000};
 /// How often shares of teams' rates and of connections are taken over from the fleet.
 constexpr Core::Duration exchangeInterval{500};
 /// How long the balancer may go on sending callers after this proxy said that it isn't ready: two
--- a/Services/SessionProxy/SessionProxySettings.cpp
+++ b/Services/SessionProxy/SessionProxySettings.cpp
@@ -62,12 +62,10 @@
     settings.stopGrace = Core::Duration(
         TRY(reader.positive("limits.stop_grace_s", settings.stopGrace.milliseconds() / 1'000))
         * 1'000);
-    settings.maximumSessions = static_cast<std::size_t>(
-        TRY(reader.positive("limits.sessions",
-                            static_cast<std::int64_t>(settings.maximumSessions))));
-    settings.sampledLinesPerSecond = static_cast<double>(
-        TRY(reader.positive("log.sampled_lines_per_s",
-                            static_cast<std::int64_t>(settings.sampledLinesPerSecond))));
+    settings.maximumSessions = static_cast<std::size_t>(TRY(
+        reader.positive("limits.sessions", static_cast<std::int64_t>(settings.maximumSessions))));
+    settings.sampledLinesPerSecond = static_cast<double>(TRY(reader.positive(
+        "log.sampled_lines_per_s", static_cast<std::int64_t>(settings.sampledLinesPerSecond))));
     if (const auto level = table.at_path("log.level").value<std::string>())
         settings.logLevel = TRY(Observe::parseSeverity(*level));
     return settings;
--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -79,7 +79,9 @@
     const auto *list = std::get_if<StoreFeed::List>(&asked);
     if (!list) {
         feed_.changed(page.revision);
-        handlers_.changed(std::move(page.objects), askedAt);
+        const Core::Instant confirmedAt =
+            feed_.confirmedAt(askedAt, !page.objects.empty(), Core::SteadyClock::now());
+        handlers_.changed(std::move(page.objects), confirmedAt);
         return;
     }
     if (list->after.empty()) {
--- a/Services/SessionProxy/StoreLink.h
+++ b/Services/SessionProxy/StoreLink.h
@@ -20,8 +20,8 @@
     {
         /// The complete list, and when it was asked for.
         std::function<void(std::vector<Adapter::StoreObject>, Core::Instant askedAt)> listed;
-        /// The changes since, perhaps none.
-        std::function<void(std::vector<Adapter::StoreObject>, Core::Instant askedAt)> changed;
+        /// The changes since, perhaps none, and as of when there are no others.
+        std::function<void(std::vector<Adapter::StoreObject>, Core::Instant confirmedAt)> changed;
         /// Contact was lost or regained.
         std::function<void(bool isReachable, const std::string &why)> reachable;
     };
--- a/Services/SessionProxy/main.cpp
+++ b/Services/SessionProxy/main.cpp
@@ -52,8 +52,7 @@
     Node node(context, settings, [&] { context.stop(); });
     const auto started = node.start();
     if (!started) {
-        Observe::log(Observe::Severity::Error, "start_failed",
-                     {{"why", started.error().message}});
+        Observe::log(Observe::Severity::Error, "start_failed", {{"why", started.error().message}});
         Observe::flushLog();
         return exitCannotStart;
     }
--- a/Tests/Fleet/TestStoreFeed.cpp
+++ b/Tests/Fleet/TestStoreFeed.cpp
@@ -54,3 +54,12 @@
     feed.failed();
     LONGS_EQUAL(14, std::get<StoreFeed::Watch>(feed.next()).since);
 }
+
+TEST(StoreFeed, AQuietAnswerIsAsOfTheEndOfTheWait)
+{
+    const Core::Instant asked(10'000);
+    CHECK(feed.confirmedAt(asked, false, asked + 2_s) == asked + 1'900_ms);
+    // With changes, or before the wait was over, nothing is known of later moments.
+    CHECK(feed.confirmedAt(asked, true, asked + 2_s) == asked);
+    CHECK(feed.confirmedAt(asked, false, asked + 1_s) == asked);
+}
