--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -121,8 +121,8 @@
     state.health = health;
     if (!isNews)
         return;
-    log("primary_health", {{"group", group.value()},
-                           {"health", health == Health::Suspect ? "suspect" : "healthy"}});
+    log("primary_health",
+        {{"group", group.value()}, {"health", health == Health::Suspect ? "suspect" : "healthy"}});
     sendToAll(Reply::NotWanted, now);
     nextReview_ = now;
 }
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -135,7 +135,7 @@
     std::vector<Action> actions_;
     CallId nextCall_ = 1;
     std::map<CallId, Record> writes_; ///< Those that are not answered yet.
-    CallId registration_ = 0; ///< The call that is not answered yet.
+    CallId registration_ = 0;         ///< The call that is not answered yet.
     CallId leaderClaim_ = 0;
     std::vector<OrderPromotion> orders_; ///< To be given once leadership is confirmed.
     Core::Instant mayOrderFrom_;         ///< By then orders of the leader before have ended.
@@ -146,16 +146,16 @@
     Core::Instant startedAt_;
     Core::Instant storeSeenAt_; ///< When the newest answered question to the store was asked.
     Core::Instant lastAnswerAt_;
-    Core::Instant contactSince_; ///< Since when the store answers without a longer gap.
+    Core::Instant contactSince_;   ///< Since when the store answers without a longer gap.
     Core::Instant majoritySeenAt_; ///< When half of the members were heard last.
     Core::Instant leadingSince_;
     Core::Instant nextBeat_;
     Core::Instant nextReview_;
-    std::map<Core::NodeName, Core::Instant> memberSince_; ///< Since when this proxy knows it.
+    std::map<Core::NodeName, Core::Instant> memberSince_;  ///< Since when this proxy knows it.
     std::map<Core::NodeName, Core::Instant> retiredSince_; ///< Since when it was seen as retired.
     std::map<Core::GroupName, Core::Instant> firstPrimaryWrittenAt_;
     bool isStoreLost_ = false;
-    bool isListed_ = false; ///< Whether the records were ever listed.
+    bool isListed_ = false;  ///< Whether the records were ever listed.
     bool isDeposed_ = false; ///< Another leads, though the known record doesn't say so yet.
     bool isLeaving_ = false;
 };
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -26,8 +26,7 @@
 {
     for (const auto &[node, member] : view_.members())
         memberSince_.try_emplace(node, now);
-    std::erase_if(memberSince_,
-                  [&](const auto &entry) { return !view_.findMember(entry.first); });
+    std::erase_if(memberSince_, [&](const auto &entry) { return !view_.findMember(entry.first); });
     if (view_.isMember(self_.node, self_.boot))
         return;
     // A refused or unanswered registration shows in the records, and is tried again after a while.
@@ -124,9 +123,10 @@
             continue;
         }
         promotion.token = revision;
-        log("promotion_order", {{"group", promotion.group.value()},
-                                {"candidate", promotion.database.value()},
-                                {"token", std::to_string(revision)}});
+        log("promotion_order",
+            {{"group", promotion.group.value()},
+             {"candidate", promotion.database.value()},
+             {"token", std::to_string(revision)}});
         actions_.emplace_back(std::move(promotion));
     }
     // Another proxy leads, and the records will tell which.
@@ -189,8 +189,9 @@
         const auto reason = reasonToReplace(group, state, *primary, now);
         if (!reason)
             return;
-        plan = plans_.emplace(group, PromotionPlan(primary->record, primary->revision, *reason,
-                                                   self_.node))
+        plan = plans_
+                   .emplace(group,
+                            PromotionPlan(primary->record, primary->revision, *reason, self_.node))
                    .first;
     }
     const auto inputs = planInputs(group, state, plan->second, now);
@@ -235,8 +236,8 @@
         return Reason::Failed;
     if (isStoreLost_)
         return {};
-    const auto entry = std::ranges::find(state.databases, primary.record.database,
-                                         &Sessions::DatabaseEntry::id);
+    const auto entry =
+        std::ranges::find(state.databases, primary.record.database, &Sessions::DatabaseEntry::id);
     if (entry != state.databases.end()
         && entry->availability == Sessions::DatabaseAvailability::Draining)
         return Reason::Leaving;
@@ -310,8 +311,7 @@
     if (!plan.isClaimed())
         return inputs;
     const bool isLapsed = now >= plan.claimedAt() + rightDuration + clockDrift;
-    inputs.isFenced = isLapsed
-        || std::ranges::all_of(view_.members(), [&](const auto &entry) {
+    inputs.isFenced = isLapsed || std::ranges::all_of(view_.members(), [&](const auto &entry) {
                           return hasAdopted(entry.second.record, group, plan.claimRevision());
                       });
     return inputs;
--- a/Libraries/Fleet/FleetView.cpp
+++ b/Libraries/Fleet/FleetView.cpp
@@ -56,7 +56,9 @@
                                     if (!leader_ || leader_->revision < revision)
                                         leader_ = {leader, revision};
                                 },
-                                [&](const PrimaryRecord &primary) { learn({primary, revision}); }},
+                                [&](const PrimaryRecord &primary) {
+                                    learn({primary, revision});
+                                }},
                record);
 }
 
--- a/Libraries/Fleet/Heartbeat.h
+++ b/Libraries/Fleet/Heartbeat.h
@@ -13,7 +13,6 @@
 
 namespace Chervilpin::Fleet {
 
-
 using Health = Sessions::PrimaryHealth;
 
 /// One group in a heartbeat.
@@ -24,7 +23,7 @@
     Core::DatabaseName database;
     PrimaryPhase phase = PrimaryPhase::Active;
     Core::DatabaseName candidate; ///< While ordered.
-    Revision adopted = 0; ///< The sender uses no primary of an older record any more.
+    Revision adopted = 0;         ///< The sender uses no primary of an older record any more.
     Health health = Health::Unknown;
     Core::LogMark mark; ///< The highest that the sender saw of the group.
 };
--- a/Libraries/Fleet/Records.cpp
+++ b/Libraries/Fleet/Records.cpp
@@ -43,18 +43,14 @@
 
 json::object toJson(const LeaderRecord &record)
 {
-    return {
-        {"node", record.node.value()}, {"boot", record.boot}, {"attempt", record.attempt}};
+    return {{"node", record.node.value()}, {"boot", record.boot}, {"attempt", record.attempt}};
 }
 
 json::object toJson(const PrimaryRecord &record)
 {
-    return {{"group", record.group.value()},
-            {"database", record.database.value()},
-            {"phase", toString(record.phase)},
-            {"candidate", record.candidate.value()},
-            {"writer", record.writer.value()},
-            {"attempt", record.attempt}};
+    return {{"group", record.group.value()},   {"database", record.database.value()},
+            {"phase", toString(record.phase)}, {"candidate", record.candidate.value()},
+            {"writer", record.writer.value()}, {"attempt", record.attempt}};
 }
 
 std::string text(const json::object &object, std::string_view name)
@@ -128,7 +124,9 @@
     return std::visit(
         Core::Overloaded{[](const MemberRecord &member) { return memberKey(member.node); },
                          [](const LeaderRecord &) { return leaderKey(); },
-                         [](const PrimaryRecord &primary) { return primaryKey(primary.group); }},
+                         [](const PrimaryRecord &primary) {
+                             return primaryKey(primary.group);
+                         }},
         record);
 }
 
--- a/Libraries/Fleet/Records.h
+++ b/Libraries/Fleet/Records.h
@@ -27,7 +27,7 @@
     Core::NodeName node;
     Boot boot = 0;
     Core::DataCentreName dataCentre;
-    std::string address; ///< IP:port for messages of other proxies.
+    std::string address;    ///< IP:port for messages of other proxies.
     bool isRetired = false; ///< Set by the leader on one that is silent; it gets no new rights.
     /// The newest primary records that it adopted, for a leader that it can't reach otherwise.
     std::map<Core::GroupName, Revision> adopted;
@@ -56,8 +56,8 @@
     Core::DatabaseName database; ///< While replacing: the one to be replaced.
     PrimaryPhase phase = PrimaryPhase::Active;
     Core::DatabaseName candidate; ///< While ordered.
-    Core::NodeName writer;     ///< Who wrote it, so that a lost answer can be recognised.
-    std::uint64_t attempt = 0; ///< Differs between a writer's writes.
+    Core::NodeName writer;        ///< Who wrote it, so that a lost answer can be recognised.
+    std::uint64_t attempt = 0;    ///< Differs between a writer's writes.
 };
 
 using Record = std::variant<MemberRecord, LeaderRecord, PrimaryRecord>;
--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -116,8 +116,8 @@
     Core::Duration queued; ///< Of that, until it was sent first.
 };
 
-using Action = std::variant<AcceptSession, AnswerSession, EndSession, OpenConnection,
-                            CloseConnection, SendStatement, ReportHealth, ReportReleased,
-                            ReportStatus, LogLine, CountOutcome>;
+using Action =
+    std::variant<AcceptSession, AnswerSession, EndSession, OpenConnection, CloseConnection,
+                 SendStatement, ReportHealth, ReportReleased, ReportStatus, LogLine, CountOutcome>;
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/FreshnessLedger.h
+++ b/Libraries/Sessions/FreshnessLedger.h
@@ -27,8 +27,8 @@
     [[nodiscard]] std::optional<Core::LogMark> requiredFor(Core::Duration age,
                                                            Core::Instant now) const;
 
-    /// The mark that stands for a session's own commit: itself, or, if a new primary was made since,
-    /// the first sample of the new term, which holds all commits that survived the change.
+    /// The mark that stands for a session's own commit: itself, or, if a new primary was made
+    /// since, the first sample of the new term, which holds all commits that survived the change.
     [[nodiscard]] std::optional<Core::LogMark> requiredForOwn(Core::LogMark own) const;
 
     /// When the primary was first known to hold the mark; nothing if that is not known.
--- a/Libraries/Sessions/Placement.cpp
+++ b/Libraries/Sessions/Placement.cpp
@@ -62,7 +62,8 @@
 
 unsigned statementLimit(unsigned slots, std::size_t proxies)
 {
-    const double even = static_cast<double>(slots) / static_cast<double>(std::max<std::size_t>(proxies, 1));
+    const double even =
+        static_cast<double>(slots) / static_cast<double>(std::max<std::size_t>(proxies, 1));
     return std::max(leastLimit, static_cast<unsigned>(std::ceil(even * unevenness)));
 }
 
--- a/Libraries/Sessions/RoutingTable.h
+++ b/Libraries/Sessions/RoutingTable.h
@@ -27,8 +27,8 @@
     Core::GroupName group;
     Consistency consistency = Consistency::Latest;
     Core::Duration statementTimeout;
-    Core::Duration objective;  ///< The latency that callers of this route count on.
-    Core::Duration maximumAge; ///< For the reads of BoundedAge and ReadOwnWrites.
+    Core::Duration objective;   ///< The latency that callers of this route count on.
+    Core::Duration maximumAge;  ///< For the reads of BoundedAge and ReadOwnWrites.
     std::uint32_t priority = 0; ///< 0 is the highest.
     bool isOpenToAll = false;   ///< Whether callers need no key.
 };
@@ -41,7 +41,7 @@
 
 struct GroupLimits
 {
-    std::uint32_t maximumConnections = 0; ///< Of one database, by all proxies together.
+    std::uint32_t maximumConnections = 0;  ///< Of one database, by all proxies together.
     std::uint32_t synchronousReplicas = 0; ///< How many hold a commit before it is acknowledged.
 };
 
@@ -86,7 +86,8 @@
     std::uint32_t slots = 1; ///< Statements that it runs at a time.
     DatabaseAvailability availability = DatabaseAvailability::Ready;
     DatabaseRole role = DatabaseRole::Replica; ///< As it sees itself.
-    std::int64_t bornMilliseconds = 0; ///< Wall clock of its start; another start is another database.
+    std::int64_t bornMilliseconds =
+        0; ///< Wall clock of its start; another start is another database.
 };
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/Session.h
+++ b/Libraries/Sessions/Session.h
@@ -68,7 +68,7 @@
     std::deque<Statement> waiting; ///< Sent by the caller before the last answer.
     Core::Instant lastActive;
     std::optional<Core::Instant> endBy; ///< Then it is closed whatever it does.
-    bool isEnded = false;  ///< The shell was asked to close it.
+    bool isEnded = false;               ///< The shell was asked to close it.
     bool isEnding = false; ///< To be closed once nothing runs and no transaction is open.
 };
 
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -26,8 +26,7 @@
             continue;
         const auto route = table_->findRoute(session.databaseName);
         const auto *team = table_->findTeam(session.key);
-        const bool isServed =
-            route && (route->isOpenToAll || (team && *team == session.team));
+        const bool isServed = route && (route->isOpenToAll || (team && *team == session.team));
         if (isServed)
             continue;
         if (!session.running && session.transaction == TransactionStage::None) {
@@ -118,13 +117,12 @@
     if (group.released >= group.revision)
         return;
     const bool isSame = group.isPrimaryActive && group.oldPrimary == group.primary;
-    const bool isInUse = !isSame
-        && std::ranges::any_of(connections_, [&](const auto &entry) {
-                             const Connection &connection = entry.second;
-                             return connection.database == group.oldPrimary
-                                 && connection.state != Connection::State::Idle
-                                 && connection.state != Connection::State::Opening;
-                         });
+    const bool isInUse = !isSame && std::ranges::any_of(connections_, [&](const auto &entry) {
+        const Connection &connection = entry.second;
+        return connection.database == group.oldPrimary
+            && connection.state != Connection::State::Idle
+            && connection.state != Connection::State::Opening;
+    });
     if (isInUse) {
         scheduleReview(std::max(now, group.releaseBy));
         return;
@@ -209,7 +207,9 @@
 std::optional<Core::Instant> SessionEngine::dueAt(const Session &session) const
 {
     std::optional<Core::Instant> due = session.endBy;
-    const auto consider = [&](Core::Instant at) { due = due ? std::min(*due, at) : at; };
+    const auto consider = [&](Core::Instant at) {
+        due = due ? std::min(*due, at) : at;
+    };
     if (session.running) {
         const bool isQueued = session.running->stage == Operation::Stage::Queued;
         consider(isQueued ? std::min(session.running->queueUntil, session.running->deadline)
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-void SessionEngine::sessionOpened(SessionId id, std::string_view databaseName,
-                                  std::string_view key, Core::Instant now)
+void SessionEngine::sessionOpened(SessionId id, std::string_view databaseName, std::string_view key,
+                                  Core::Instant now)
 {
     Session &session = sessions_[id];
     session.id = id;
@@ -108,8 +108,7 @@
         return;
     }
     if (statement.kind == StatementKind::Execute && !session.state.findPrepared(statement.name)) {
-        answer(session, {{}, Failure::UnknownPrepared, "no prepared statement has this name"},
-               now);
+        answer(session, {{}, Failure::UnknownPrepared, "no prepared statement has this name"}, now);
         return;
     }
     if (session.transaction == TransactionStage::Open)
@@ -158,12 +157,12 @@
          {"share", std::to_string(rate->second.share())},
          {"demand", std::to_string(rate->second.demandPerSecond(now))},
          {"retry_after_ms", std::to_string(wait.milliseconds())}});
-    answer(session,
-           {{},
-            Failure::Busy,
-            "the team is over its rate; try again in " + std::to_string(wait.milliseconds())
-                + " ms"},
-           now);
+    answer(
+        session,
+        {{},
+         Failure::Busy,
+         "the team is over its rate; try again in " + std::to_string(wait.milliseconds()) + " ms"},
+        now);
     return false;
 }
 
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -157,9 +157,10 @@
 {
     if (session.isEnded)
         return;
-    log(Importance::Sampled, "session_ended",
+    log(failure ? Importance::Always : Importance::Sampled, "session_ended",
         {{"session", std::to_string(session.id)},
          {"team", session.team.value()},
+         {"database_name", session.databaseName},
          {"failure", failure ? std::string(toString(*failure)) : "none"},
          {"configuration", table_ ? std::to_string(table_->version) : "none"}});
     // The shell closes the caller's connection and reports it, which removes the session.
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -166,8 +166,7 @@
 {
     const Statement &statement = session.running->statement;
     if (session.transaction != TransactionStage::None)
-        return statement.kind == StatementKind::Commit
-            && session.beginKind == StatementKind::Begin;
+        return statement.kind == StatementKind::Commit && session.beginKind == StatementKind::Begin;
     if (statement.kind == StatementKind::Execute) {
         const PreparedShape *shape = session.state.findPrepared(statement.name);
         return !shape || shape->access == Access::Write;
@@ -292,8 +291,8 @@
 
 void SessionEngine::operationEnded(Session &session, Core::Instant)
 {
-    const bool isResting =
-        !session.running && session.transaction == TransactionStage::None && session.waiting.empty();
+    const bool isResting = !session.running && session.transaction == TransactionStage::None
+        && session.waiting.empty();
     if (session.isEnding && isResting)
         end(session, {}, {});
 }
--- a/Libraries/Sessions/Statement.h
+++ b/Libraries/Sessions/Statement.h
@@ -37,9 +37,9 @@
 {
     std::string id; ///< The caller's id of it; empty for statements of the proxy itself.
     StatementKind kind = StatementKind::Malformed;
-    std::string name;              ///< Of the value or of the prepared statement.
-    Access access = Access::Read;  ///< Prepare: what the shape does.
-    std::string arguments;         ///< What follows, to be passed on to the letter.
+    std::string name;             ///< Of the value or of the prepared statement.
+    Access access = Access::Read; ///< Prepare: what the shape does.
+    std::string arguments;        ///< What follows, to be passed on to the letter.
 };
 
 /// The state of a session or connection after an answer.
@@ -81,8 +81,8 @@
 struct DatabaseStatus
 {
     DatabaseRole role = DatabaseRole::Replica;
-    Core::Term term = 0;     ///< The newest term that it knows.
-    Core::LogMark received;  ///< The end of its log, which may not be applied yet.
+    Core::Term term = 0;    ///< The newest term that it knows.
+    Core::LogMark received; ///< The end of its log, which may not be applied yet.
 };
 
 /// A database's whole answer to one statement.
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -321,7 +321,8 @@
     if (!hasLeft_ || now < leftAt_ + leaveTime)
         return;
     Observe::log(Severity::Info, "stopped",
-                 {{"sessions", std::to_string(sessions_.sessionCount())}});
+                 {{"sessions", std::to_string(sessions_.sessionCount())},
+                  {"log_lines_dropped", std::to_string(Observe::droppedLogLines())}});
     stopped_();
 }
 
--- a/Services/SessionProxy/PeerSocket.h
+++ b/Services/SessionProxy/PeerSocket.h
@@ -16,8 +16,8 @@
     using Handler = std::function<void(std::string_view datagram)>;
 
     /// Fails if \a address, an `IP:port`, can't be bound.
-    static Core::ErrorOr<std::unique_ptr<PeerSocket>>
-    create(boost::asio::io_context &, std::string_view address, Handler);
+    static Core::ErrorOr<std::unique_ptr<PeerSocket>> create(boost::asio::io_context &,
+                                                             std::string_view address, Handler);
 
     void send(std::string_view address, std::string_view datagram);
 
--- a/Services/SessionProxy/SessionProxySettings.h
+++ b/Services/SessionProxy/SessionProxySettings.h
@@ -15,12 +15,12 @@
 {
     Core::NodeName node;
     Core::DataCentreName dataCentre;
-    std::string callerListen;    ///< IP:port for callers.
-    std::string readyListen;     ///< IP:port for the balancer's question.
-    std::string metricsListen;   ///< IP:port for metrics.
-    std::string peerListen;      ///< IP:port for other proxies, UDP.
-    std::string storeAddress;    ///< IP:port of the platform's store.
-    std::string promotionAddress; ///< IP:port that promotions are ordered from.
+    std::string callerListen;        ///< IP:port for callers.
+    std::string readyListen;         ///< IP:port for the balancer's question.
+    std::string metricsListen;       ///< IP:port for metrics.
+    std::string peerListen;          ///< IP:port for other proxies, UDP.
+    std::string storeAddress;        ///< IP:port of the platform's store.
+    std::string promotionAddress;    ///< IP:port that promotions are ordered from.
     Core::Duration stopGrace{6'000}; ///< From SIGTERM until the process is killed.
     std::size_t maximumSessions = 3'800;
     Observe::Severity logLevel = Observe::Severity::Info;
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -123,7 +123,7 @@
     /// Checked at each order: proxies that could still use another database.
     std::vector<std::string> broken;
     bool areOrdersAnswered = true;
-    unsigned writes = 0; ///< Calls of the store, answered or not.
+    unsigned writes = 0;                ///< Calls of the store, answered or not.
     Core::DatabaseName primary{"db-1"}; ///< As the databases see it.
 
 private:
