--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -144,6 +144,8 @@
         if (state != Connection::State::Idle && state != Connection::State::Opening)
             busy.push_back(id);
     }
+    if (busy.empty())
+        return;
     log(Importance::Always, "database_cut",
         {{"database", name.value()}, {"why", why}, {"connections", std::to_string(busy.size())}});
     for (const ConnectionId id : busy) {
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -141,7 +141,7 @@
     answer(session, std::move(reply), now);
 }
 
-bool SessionEngine::admit(Session &session, const Statement &, Core::Instant now)
+bool SessionEngine::admit(Session &session, const Statement &statement, Core::Instant now)
 {
     if (session.team.isEmpty())
         return true;
@@ -150,7 +150,8 @@
         return true;
     const Core::Duration wait = rate->second.waitForNext();
     log(Importance::Always, "refused_over_rate",
-        {{"session", std::to_string(session.id)},
+        {{"id", statement.id},
+         {"session", std::to_string(session.id)},
          {"team", session.team.value()},
          {"configuration", std::to_string(table_->version)},
          {"rate", std::to_string(rate->second.ratePerSecond())},
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -253,18 +253,13 @@
 
 void Node::write(const Sessions::LogLine &line)
 {
-    if (line.importance == Sessions::Importance::Sampled) {
-        const Core::Instant now = Core::SteadyClock::now();
-        const double perMillisecond = settings_.sampledLinesPerSecond / 1'000.0;
-        samples_ = std::min(
-            settings_.sampledLinesPerSecond,
-            samples_ + perMillisecond * static_cast<double>((now - sampleAt_).milliseconds()));
-        sampleAt_ = now;
-        if (samples_ < 1) {
-            ++linesLeftOut_;
-            return;
-        }
-        samples_ -= 1;
+    const Core::Instant now = Core::SteadyClock::now();
+    const bool isSampled = line.importance == Sessions::Importance::Sampled;
+    LinePace &pace = isSampled ? sampledLines_ : failureLines_;
+    if (!pace.take(isSampled ? settings_.sampledLinesPerSecond : settings_.failureLinesPerSecond,
+                   now)) {
+        ++linesLeftOut_;
+        return;
     }
     Observe::log(Severity::Info, line.name, toFields(line.fields));
 }
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -7,6 +7,7 @@
 #include <Http/Server.h>
 #include <Observe/Metrics.h>
 #include <Services/SessionProxy/LineConnection.h>
+#include <Services/SessionProxy/LinePace.h>
 #include <Services/SessionProxy/PeerSocket.h>
 #include <Services/SessionProxy/SessionProxySettings.h>
 #include <Services/SessionProxy/StoreLink.h>
@@ -123,8 +124,8 @@
     std::uint64_t configurationVersion_ = 0;
     Core::Instant armedFor_;
     Core::Instant nextExchange_;
-    Core::Instant sampleAt_;
-    double samples_ = 0; ///< Log lines that may be written of requests that ended well.
+    LinePace sampledLines_; ///< Of requests that ended well.
+    LinePace failureLines_; ///< Of all else.
     std::uint64_t linesLeftOut_ = 0;
     std::optional<Core::Instant> stoppingSince_;
     bool hasLeft_ = false;
