--- a/Services/SessionProxy/SessionProxySettings.cpp
+++ b/Services/SessionProxy/SessionProxySettings.cpp
@@ -66,6 +66,8 @@
         reader.positive("limits.sessions", static_cast<std::int64_t>(settings.maximumSessions))));
     settings.sampledLinesPerSecond = static_cast<double>(TRY(reader.positive(
         "log.sampled_lines_per_s", static_cast<std::int64_t>(settings.sampledLinesPerSecond))));
+    settings.failureLinesPerSecond = static_cast<double>(TRY(reader.positive(
+        "log.failure_lines_per_s", static_cast<std::int64_t>(settings.failureLinesPerSecond))));
     if (const auto level = table.at_path("log.level").value<std::string>())
         settings.logLevel = TRY(Observe::parseSeverity(*level));
     return settings;
--- a/Services/SessionProxy/SessionProxySettings.h
+++ b/Services/SessionProxy/SessionProxySettings.h
@@ -24,7 +24,8 @@
     Core::Duration stopGrace{6'000}; ///< From SIGTERM until the process is killed.
     std::size_t maximumSessions = 3'800;
     Observe::Severity logLevel = Observe::Severity::Info;
-    double sampledLinesPerSecond = 100000; ///< Lines of requests that ended well.
+    double sampledLinesPerSecond = 20;  ///< Lines of requests that ended well.
+    double failureLinesPerSecond = 200; ///< Lines of failures and of what the process believes.
 };
 
 /// Fails with InvalidArgument; the message names the file, the field and what is wrong.
