What nobody used goes; a caller's line is decoded into a local value

Cause: a read-through of the whole change found fields and functions without a reader (openedAt, isRead, hasTransactionWritten, newestSample, isNotRun, PeerTable::remove) and a message kept in a static for no reason.

--- a/Libraries/Fleet/PeerTable.h
+++ b/Libraries/Fleet/PeerTable.h
@@ -19,7 +19,6 @@
 
     /// False for a message of an earlier life, or one that was overtaken by a later one.
     bool heard(const Heartbeat &, Core::Instant now);
-    void remove(const Core::NodeName &node) { peers_.erase(node); }
 
     [[nodiscard]] const Peer *find(const Core::NodeName &) const;
     /// Whether this life of the node was heard within \a span.
--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -111,7 +111,6 @@
 {
     std::string outcome; ///< `done`, or the failure's name.
     bool isOnReplica = false;
-    bool isRead = false;
     Core::Duration time;   ///< From its arrival to its answer.
     Core::Duration queued; ///< Of that, until it was sent first.
 };
--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -50,7 +50,6 @@
     SessionId session = 0;
     bool isInTransaction = false;
     Core::Instant since; ///< Of the state.
-    Core::Instant openedAt;
 };
 
 /// Paces how often an idle connection makes room for one of another team.
--- a/Libraries/Sessions/FreshnessLedger.cpp
+++ b/Libraries/Sessions/FreshnessLedger.cpp
@@ -61,11 +61,4 @@
     return newer == samples_.end() ? Core::Duration() : now - newer->sentAt;
 }
 
-std::optional<Core::Instant> FreshnessLedger::newestSample() const
-{
-    if (samples_.empty())
-        return {};
-    return samples_.back().sentAt;
-}
-
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/FreshnessLedger.h
+++ b/Libraries/Sessions/FreshnessLedger.h
@@ -37,8 +37,6 @@
     /// How old the state of a database is whose log ends at \a mark.
     [[nodiscard]] Core::Duration ageOf(Core::LogMark mark, Core::Instant now) const;
 
-    [[nodiscard]] std::optional<Core::Instant> newestSample() const;
-
 private:
     struct Sample
     {
--- a/Libraries/Sessions/Session.h
+++ b/Libraries/Sessions/Session.h
@@ -60,7 +60,6 @@
 
     TransactionStage transaction = TransactionStage::None;
     StatementKind beginKind = StatementKind::Begin;
-    bool hasTransactionWritten = false;
     ConnectionId pinned = 0;
     std::shared_ptr<const Route> route; ///< Of the running operation or transaction.
 
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -176,7 +176,6 @@
     // A database learns of it with its first statement, so that none is held for a caller's pause.
     session.transaction = TransactionStage::Announced;
     session.beginKind = statement.kind;
-    session.hasTransactionWritten = false;
     answer(session, {}, now);
 }
 
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -14,7 +14,6 @@
     Connection *connection = findConnection(id);
     if (!connection)
         return;
-    connection->openedAt = now;
     Database &database = databases_.at(connection->database);
     database.failures = 0;
     database.troubleSince = Core::Instant();
--- a/Libraries/Sessions/Statement.cpp
+++ b/Libraries/Sessions/Statement.cpp
@@ -7,40 +7,29 @@
 
 namespace {
 
-struct FailureTraits
-{
-    std::string_view name;
-    bool isNotRun;
-};
-
 /// By the order of Failure.
-constexpr std::array<FailureTraits, 14> failureTraits{{
-    {"busy", true},
-    {"aborted", true},
-    {"lagging", true},
-    {"read_only", true},
-    {"wrong_database", true},
-    {"connection_limit", true},
-    {"unknown_prepared", true},
-    {"in_doubt", false},
-    {"timeout", false},
-    {"execution_failed", false},
-    {"unknown_route", true},
-    {"authentication_failed", true},
-    {"malformed", true},
-    {"other", false},
-}};
+constexpr std::array<std::string_view, 14> failureNames{
+    "busy",
+    "aborted",
+    "lagging",
+    "read_only",
+    "wrong_database",
+    "connection_limit",
+    "unknown_prepared",
+    "in_doubt",
+    "timeout",
+    "execution_failed",
+    "unknown_route",
+    "authentication_failed",
+    "malformed",
+    "other",
+};
 
 } // namespace
 
 std::string_view toString(Failure failure)
 {
-    return failureTraits[static_cast<std::size_t>(failure)].name;
-}
-
-bool isNotRun(Failure failure)
-{
-    return failureTraits[static_cast<std::size_t>(failure)].isNotRun;
+    return failureNames[static_cast<std::size_t>(failure)];
 }
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/Statement.h
+++ b/Libraries/Sessions/Statement.h
@@ -69,9 +69,6 @@
 
 [[nodiscard]] std::string_view toString(Failure);
 
-/// Whether the failure says that nothing of the statement is kept.
-[[nodiscard]] bool isNotRun(Failure);
-
 enum class DatabaseRole {
     Replica,
     Primary,
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -88,14 +88,15 @@
         connection->finish();
         callerClosed(id);
     };
+    Adapter::CallerMessage message = Adapter::decodeCallerLine(line);
     std::visit(Core::Overloaded{
-                   [&](const Adapter::ConnectMessage &message) {
+                   [&](const Adapter::ConnectMessage &hello) {
                        if (caller.isConnected) {
                            refuse(Sessions::Failure::Malformed, "the session is open already");
                            return;
                        }
                        caller.isConnected = true;
-                       sessions_.sessionOpened(id, message.databaseName, message.key, now);
+                       sessions_.sessionOpened(id, hello.databaseName, hello.key, now);
                    },
                    [&](Sessions::Statement &statement) {
                        if (caller.isConnected)
@@ -112,11 +113,7 @@
                        refuse(Sessions::Failure::Malformed, "the message can't be understood");
                    },
                },
-               [&]() -> Adapter::CallerMessage & {
-                   static Adapter::CallerMessage message;
-                   message = Adapter::decodeCallerLine(line);
-                   return message;
-               }());
+               message);
 }
 
 void Node::callerClosed(Sessions::SessionId id)
