A planned stop waits for callers that came after the last session had ended

Ruled out: the time for transactions (the statement was single) and the database (it had answered). Change: it ends only when again no session is left, or the time to stop is nearly over.

--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -313,7 +313,9 @@
         for (const auto &action : fleet_.takeActions())
             perform(action);
     }
-    if (!hasLeft_ || now < leftAt_ + leaveTime)
+    // A caller may still have come after the last session ended.
+    const bool isDone = sessions_.isIdle() || isLate;
+    if (!hasLeft_ || now < leftAt_ + leaveTime || !isDone)
         return;
     Observe::log(Severity::Info, "stopped",
                  {{"sessions", std::to_string(sessions_.sessionCount())},
