--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -48,6 +48,13 @@
 constexpr Core::Duration ageMargin{100};
 /// How long a withdrawn key's running transaction may go on; the users ask for seconds.
 constexpr Core::Duration withdrawnTransactionTime{1'500};
+/// How long the balancer may go on sending callers after this proxy said that it isn't ready: two
+/// questions, a second apart.
+constexpr Core::Duration balancerDelay{2'300};
+/// The process ends this much before it would be killed.
+constexpr Core::Duration stopMargin{700};
+/// How long the removal of this member's record is waited for.
+constexpr Core::Duration leaveTime{100};
 
 /// How long a statement may wait for a database. A fifth of the objective leaves time for the
 /// statement itself, and for the caller to come back elsewhere.
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -83,10 +83,10 @@
 
 void Node::stop()
 {
-    if (stoppingSince_)
+    if (stopPlan_)
         return;
     const Core::Instant now = Core::SteadyClock::now();
-    stoppingSince_ = now;
+    stopPlan_.emplace(now, settings_.stopGrace);
     Observe::log(Severity::Info, "stopping",
                  {{"sessions", std::to_string(sessions_.sessionCount())},
                   {"grace_ms", std::to_string(settings_.stopGrace.milliseconds())}});
@@ -301,26 +301,24 @@
 
 void Node::checkStopped(Core::Instant now)
 {
-    if (!stoppingSince_)
+    if (!stopPlan_)
         return;
     nextExchange_ = std::min(nextExchange_, now + stopCheckInterval);
-    const bool isBalancerDone = now >= *stoppingSince_ + balancerDelay;
-    const bool isLate = now >= *stoppingSince_ + settings_.stopGrace - stopMargin;
-    if (!hasLeft_ && ((isBalancerDone && sessions_.isIdle()) || isLate)) {
-        hasLeft_ = true;
-        leftAt_ = now;
+    switch (stopPlan_->advance(sessions_.sessionCount(), now)) {
+    case Sessions::StopPlan::Step::Serve:
+        return;
+    case Sessions::StopPlan::Step::Leave:
         fleet_.leave(now);
         for (const auto &action : fleet_.takeActions())
             perform(action);
-    }
-    // A caller may still have come after the last session ended.
-    const bool isDone = sessions_.isIdle() || isLate;
-    if (!hasLeft_ || now < leftAt_ + leaveTime || !isDone)
         return;
-    Observe::log(Severity::Info, "stopped",
-                 {{"sessions", std::to_string(sessions_.sessionCount())},
-                  {"log_lines_dropped", std::to_string(Observe::droppedLogLines())}});
-    stopped_();
+    case Sessions::StopPlan::Step::End:
+        Observe::log(Severity::Info, "stopped",
+                     {{"sessions", std::to_string(sessions_.sessionCount())},
+                      {"log_lines_dropped", std::to_string(Observe::droppedLogLines())}});
+        stopped_();
+        return;
+    }
 }
 
 } // namespace Chervilpin::SessionProxy
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -13,6 +13,7 @@
 #include <Services/SessionProxy/StoreLink.h>
 #include <Sessions/DirectoryView.h>
 #include <Sessions/SessionEngine.h>
+#include <Sessions/StopPlan.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -127,9 +128,7 @@
     LinePace sampledLines_; ///< Of requests that ended well.
     LinePace failureLines_; ///< Of all else.
     std::uint64_t linesLeftOut_ = 0;
-    std::optional<Core::Instant> stoppingSince_;
-    bool hasLeft_ = false;
-    Core::Instant leftAt_;
+    std::optional<Sessions::StopPlan> stopPlan_; ///< Since this process was told to stop.
     bool isPumping_ = false;
     bool isTimerArmed_ = false;
 };
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -336,7 +336,7 @@
     constexpr unsigned notReady = 503;
     constexpr unsigned notFound = 404;
     Http::Response response;
-    const bool isReady = !stoppingSince_ && sessions_.isConfigured();
+    const bool isReady = !stopPlan_ && sessions_.isConfigured();
     response.status = isReady ? ready : notReady;
     if (request.target != Adapter::readinessPath())
         response.status = notFound;
--- a/Services/SessionProxy/NodeTiming.h
+++ b/Services/SessionProxy/NodeTiming.h
@@ -16,16 +16,10 @@
 constexpr Core::Duration directoryWatch{9'000};
 /// How often shares of teams' rates and of connections are taken over from the fleet.
 constexpr Core::Duration exchangeInterval{500};
-/// How long the balancer may go on sending callers after this proxy said that it isn't ready: two
-/// questions, a second apart.
-constexpr Core::Duration balancerDelay{2'300};
 /// Open transactions end this much before half of the time to stop.
 constexpr Core::Duration transactionMargin{200};
-/// The process ends this much before it would be killed.
-constexpr Core::Duration stopMargin{700};
+/// How often a stop's progress is looked at.
 constexpr Core::Duration stopCheckInterval{50};
-/// How long the removal of this member's record is waited for.
-constexpr Core::Duration leaveTime{100};
 /// New callers are accepted again this long after accepting failed.
 constexpr Core::Duration acceptRetry{50};
 
