--- a/Libraries/Fleet/Actions.h
+++ b/Libraries/Fleet/Actions.h
@@ -61,6 +61,13 @@
     Core::Instant validUntil; ///< Nothing may be sent to the primary from then on.
 };
 
+/// The proxies that take part changed.
+struct MembersChanged
+{
+    std::vector<MemberRecord> members; ///< Without those that are retired.
+    std::size_t known = 0;             ///< With them.
+};
+
 struct Event
 {
     std::string name;
@@ -68,7 +75,7 @@
 };
 
 using Action = std::variant<WriteRecord, DeleteRecord, SendHeartbeat, OrderPromotion, AskStatus,
-                            PrimaryRight, Event>;
+                            PrimaryRight, MembersChanged, Event>;
 
 enum class WriteOutcome {
     Done,
--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -43,6 +43,7 @@
             confirmGroup(group, askedAt);
     }
     announceChanged();
+    membersLearned(now);
     nextReview_ = now;
 }
 
@@ -102,8 +103,11 @@
     if (!primary || primary->record.phase == PrimaryPhase::Active)
         return;
     // A leader waits for this; the record in the store is for one that can't be reached directly.
-    sendToAll(Reply::NotWanted, now);
     const auto &leader = view_.leader();
+    if (leader)
+        sendToNode(leader->record.node, Reply::NotWanted, now);
+    if (!leader || leader->record.node != primary->record.writer)
+        sendToNode(primary->record.writer, Reply::NotWanted, now);
     if (leader && !peers_.isHeard(leader->record.node, peerSilence, now)
         && leader->record.node != self_.node)
         registerSelf(now);
@@ -123,7 +127,7 @@
         return;
     log("primary_health",
         {{"group", group.value()}, {"health", health == Health::Suspect ? "suspect" : "healthy"}});
-    sendToAll(Reply::NotWanted, now);
+    sendToContacts(Reply::NotWanted, now);
     nextReview_ = now;
 }
 
@@ -150,9 +154,16 @@
     if (message.node == self_.node || !peers_.heard(message, now))
         return;
     learnFrom(message, now);
+    Exchange &exchange = exchanges_[message.node];
+    if (message.wantsDetails)
+        exchange.detailsUntil = now + beatInterval * 2;
+    const bool isDifferent =
+        message.recordsSum != view_.recordsSum() && now >= exchange.differedAt + differenceInterval;
+    if (isDifferent)
+        exchange.differedAt = now;
     const auto *member = view_.findMember(message.node);
-    if (message.wantsReply && member)
-        sendTo(member->record, Reply::NotWanted, now);
+    if (member && (message.wantsReply || message.wantsDetails || isDifferent))
+        sendTo(member->record, Reply::NotWanted, now, isDifferent ? Detail::All : Detail::UnderWay);
     if (!plans_.empty())
         nextReview_ = now;
 }
@@ -176,6 +187,11 @@
         return;
     // The sender's message left at this moment of the own clock or later.
     const Core::Instant leftAt = message.echoSentAt + message.echoHeld;
+    if (message.recordsSum == view_.recordsSum()) {
+        for (const auto &[group, primary] : view_.primaries())
+            confirmGroup(group, leftAt - *message.confirmedAge);
+        return;
+    }
     for (const auto &report : message.primaries) {
         const auto *primary = view_.findPrimary(report.group);
         if (primary && primary->revision == report.revision)
@@ -205,6 +221,7 @@
         return;
     }
     view_.wrote(written.mapped(), revision);
+    membersLearned(now);
     log("record_written",
         {{"key", keyOf(written.mapped())}, {"revision", std::to_string(revision)}});
     if (!std::holds_alternative<PrimaryRecord>(written.mapped()))
@@ -237,7 +254,7 @@
 void FleetEngine::leave(Core::Instant now)
 {
     isLeaving_ = true;
-    sendToAll(Reply::NotWanted, now);
+    sendToContacts(Reply::NotWanted, now);
     const auto *self = view_.findMember(self_.node);
     if (self && self->record.boot == self_.boot)
         actions_.emplace_back(DeleteRecord{memberKey(self_.node), self->revision});
@@ -260,7 +277,7 @@
     nextReview_ = now + reviewInterval;
     if (!isListed_ || isLeaving_)
         return;
-    if (2 * heardCount(now) > view_.members().size())
+    if (2 * heardCount(now) > contacts_.size() + 1)
         majoritySeenAt_ = now;
     reviewMembership(now);
     reviewLeadership(now);
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -51,8 +51,6 @@
     void primaryHealth(const Core::GroupName &, Health, Core::LogMark, Core::Instant now);
     /// Nothing is in flight any more under records older than this revision.
     void primaryReleased(const Core::GroupName &, Revision, Core::Instant now);
-    /// Demand of this proxy's callers, in operations per second.
-    void setDemand(std::map<Core::TeamName, double> demand) { demand_ = std::move(demand); }
     void setConfigurationVersion(std::uint64_t version) { configurationVersion_ = version; }
     /// Says goodbye; the record of this member is removed.
     void leave(Core::Instant now);
@@ -63,8 +61,8 @@
 
     /// How many proxies share what the databases give.
     [[nodiscard]] std::size_t memberCount() const;
-    /// The fraction of a team's limits that this proxy may spend.
-    [[nodiscard]] double shareOf(const Core::TeamName &, Core::Instant now) const;
+    /// Whether this proxy sees enough of the fleet to know that it is still taken as a member.
+    [[nodiscard]] bool isInContact(Core::Instant now) const;
     /// The newest configuration that another proxy has in force.
     [[nodiscard]] std::uint64_t newestConfigurationOfPeers() const;
     [[nodiscard]] bool isLeader() const;
@@ -86,6 +84,18 @@
         NotWanted,
     };
 
+    enum class Detail {
+        UnderWay, ///< Only groups in which something is under way.
+        All,      ///< All groups; the receiver is asked for the same.
+    };
+
+    /// What passed with one other proxy besides heartbeats as usual.
+    struct Exchange
+    {
+        Core::Instant detailsUntil; ///< It wants to hear of all groups until then.
+        Core::Instant differedAt; ///< When it was told of all groups last, since records differed.
+    };
+
     void confirm(Core::Instant askedAt, Core::Instant now);
     void confirmGroup(const Core::GroupName &, Core::Instant confirmedAt);
     void announce(const Core::GroupName &, GroupState &);
@@ -117,10 +127,16 @@
     [[nodiscard]] bool hasAdopted(const MemberRecord &, const Core::GroupName &, Revision) const;
 
     void beat(Core::Instant now);
-    void sendTo(const MemberRecord &, Reply, Core::Instant now);
+    void askHelpers(Core::Instant now);
+    void sendTo(const MemberRecord &, Reply, Core::Instant now, Detail = Detail::UnderWay);
     void sendToAll(Reply, Core::Instant now);
-    [[nodiscard]] Heartbeat makeHeartbeat(const MemberRecord &, Reply, Core::Instant now) const;
-    void computeShares();
+    void sendToContacts(Reply, Core::Instant now);
+    void sendToNode(const Core::NodeName &, Reply, Core::Instant now);
+    [[nodiscard]] Heartbeat makeHeartbeat(const MemberRecord &, Reply, Detail,
+                                          Core::Instant now) const;
+    [[nodiscard]] bool isReported(const PrimaryRecord &, const GroupState &, Revision) const;
+    void membersLearned(Core::Instant now);
+    void findContacts();
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields = {});
 
     FleetSettings self_;
@@ -128,9 +144,14 @@
     PeerTable peers_;
     std::map<Core::GroupName, GroupState> groups_;
     std::map<Core::GroupName, PromotionPlan> plans_;
-    std::map<Core::TeamName, double> demand_;
-    using TeamShares = std::map<Core::TeamName, double>;
-    std::map<Core::NodeName, TeamShares> shares_; ///< While leading; made anew with each beat.
+    std::map<Core::NodeName, Exchange> exchanges_;
+    std::vector<Core::NodeName> contacts_;  ///< Other proxies that are to be heard regularly.
+    std::vector<MemberRecord> toldMembers_; ///< As of the last MembersChanged.
+    std::size_t toldKnown_ = 0;
+    Core::NodeName toldLeader_;
+    Boot toldLeaderBoot_ = 0;
+    Core::Instant leaderSince_;  ///< When this proxy learned of the leader.
+    std::size_t nextHelper_ = 0; ///< An index of the members, by name.
     std::uint64_t configurationVersion_ = 0;
     std::vector<Action> actions_;
     CallId nextCall_ = 1;
--- a/Libraries/Fleet/FleetEngineBeat.cpp
+++ b/Libraries/Fleet/FleetEngineBeat.cpp
@@ -1,33 +1,125 @@
 #include <Fleet/FleetEngine.h>
 
+#include <Core/Rank.h>
 #include <Fleet/Timing.h>
 
 #include <algorithm>
 
-/// Heartbeats, and what they carry.
+/// Heartbeats: to whom they go, and what they carry.
 namespace Chervilpin::Fleet {
 
+namespace {
+/// Of the order in which members are neighbours.
+constexpr std::string_view neighbourDuty = "heartbeat";
+} // namespace
+
 void FleetEngine::beat(Core::Instant now)
 {
     nextBeat_ = now + beatInterval;
-    computeShares();
-    sendToAll(Reply::NotWanted, now);
+    sendToContacts(Reply::NotWanted, now);
+    askHelpers(now);
 }
 
-void FleetEngine::sendToAll(Reply reply, Core::Instant now)
+void FleetEngine::askHelpers(Core::Instant now)
 {
+    if (storeSeenAt_ == Core::Instant() || now < storeSeenAt_ + helpWantedAfter)
+        return;
+    // Neighbours may have lost the store as well, so others are asked, each time the next ones.
+    const auto &members = view_.members();
+    const std::size_t count = std::min(helpersAsked, members.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto index = static_cast<std::ptrdiff_t>(nextHelper_++ % members.size());
+        const auto helper = std::next(members.begin(), index);
+        sendToNode(helper->first, Reply::Wanted, now);
+    }
+}
+
+void FleetEngine::membersLearned(Core::Instant now)
+{
+    findContacts();
+    std::vector<MemberRecord> active;
+    for (const auto &[node, member] : view_.members()) {
+        if (!member.record.isRetired)
+            active.push_back(member.record);
+    }
+    const auto isSame = [](const MemberRecord &a, const MemberRecord &b) {
+        return a.node == b.node && a.boot == b.boot && a.address == b.address;
+    };
+    if (toldKnown_ != view_.members().size() || !std::ranges::equal(active, toldMembers_, isSame)) {
+        toldMembers_ = active;
+        toldKnown_ = view_.members().size();
+        actions_.emplace_back(MembersChanged{std::move(active), toldKnown_});
+    }
+    const auto &leader = view_.leader();
+    if (!leader || (leader->record.node == toldLeader_ && leader->record.boot == toldLeaderBoot_))
+        return;
+    toldLeader_ = leader->record.node;
+    toldLeaderBoot_ = leader->record.boot;
+    leaderSince_ = now;
+    log("leader_learned",
+        {{"node", toldLeader_.value()}, {"revision", std::to_string(leader->revision)}});
+    // The leader is to hear of all, and the others are to hear it, before its first beat.
+    sendToContacts(Reply::Wanted, now);
+}
+
+void FleetEngine::findContacts()
+{
+    contacts_.clear();
+    std::vector<Core::NodeName> order;
     for (const auto &[node, member] : view_.members()) {
         if (node != self_.node)
-            sendTo(member.record, reply, now);
+            order.push_back(node);
+    }
+    if (isLeader() || order.size() <= neighboursOnASide * 2) {
+        contacts_ = std::move(order);
+        return;
+    }
+    order.push_back(self_.node);
+    std::ranges::sort(order, {},
+                      [](const Core::NodeName &node) { return Core::rankOf(node, neighbourDuty); });
+    const auto own = static_cast<std::size_t>(std::ranges::find(order, self_.node) - order.begin());
+    for (std::size_t distance = 1; distance <= neighboursOnASide; ++distance) {
+        contacts_.push_back(order[(own + distance) % order.size()]);
+        contacts_.push_back(order[(own + order.size() - distance) % order.size()]);
     }
+    const auto &leader = view_.leader();
+    if (leader && view_.findMember(leader->record.node)
+        && std::ranges::find(contacts_, leader->record.node) == contacts_.end())
+        contacts_.push_back(leader->record.node);
 }
 
-void FleetEngine::sendTo(const MemberRecord &member, Reply reply, Core::Instant now)
+void FleetEngine::sendToAll(Reply reply, Core::Instant now)
 {
-    actions_.emplace_back(SendHeartbeat{member.address, makeHeartbeat(member, reply, now)});
+    for (const auto &[node, member] : view_.members())
+        sendToNode(node, reply, now);
 }
 
-Heartbeat FleetEngine::makeHeartbeat(const MemberRecord &receiver, Reply reply,
+void FleetEngine::sendToContacts(Reply reply, Core::Instant now)
+{
+    for (const auto &node : contacts_)
+        sendToNode(node, reply, now);
+}
+
+void FleetEngine::sendToNode(const Core::NodeName &node, Reply reply, Core::Instant now)
+{
+    const auto *member = view_.findMember(node);
+    if (member && node != self_.node)
+        sendTo(member->record, reply, now);
+}
+
+void FleetEngine::sendTo(const MemberRecord &member, Reply reply, Core::Instant now, Detail detail)
+{
+    actions_.emplace_back(SendHeartbeat{member.address, makeHeartbeat(member, reply, detail, now)});
+}
+
+bool FleetEngine::isReported(const PrimaryRecord &record, const GroupState &state,
+                             Revision revision) const
+{
+    return record.phase != PrimaryPhase::Active || state.released < revision
+        || state.health == Health::Suspect;
+}
+
+Heartbeat FleetEngine::makeHeartbeat(const MemberRecord &receiver, Reply reply, Detail detail,
                                      Core::Instant now) const
 {
     Heartbeat message;
@@ -35,10 +127,9 @@
     message.boot = self_.boot;
     message.sentAt = now;
     message.wantsReply = reply == Reply::Wanted;
+    message.wantsDetails = detail == Detail::All;
     message.configurationVersion = configurationVersion_;
-    message.demand = demand_;
-    if (const auto shares = shares_.find(receiver.node); shares != shares_.end())
-        message.shares = shares->second;
+    message.recordsSum = view_.recordsSum();
     if (const auto *peer = peers_.find(receiver.node)) {
         message.echoBoot = peer->last.boot;
         message.echoSentAt = peer->last.sentAt;
@@ -48,9 +139,15 @@
         message.confirmedAge = now - storeSeenAt_;
         message.isReceiverMember = !receiver.isRetired && !isLeaving_;
     }
+    // The leader judges all groups by what all members see of them.
+    const auto exchange = exchanges_.find(receiver.node);
+    const auto &leader = view_.leader();
+    const bool areAllReported = detail == Detail::All
+        || (leader && leader->record.node == receiver.node)
+        || (exchange != exchanges_.end() && now < exchange->second.detailsUntil);
     for (const auto &[group, state] : groups_) {
         const auto *primary = view_.findPrimary(group);
-        if (!primary)
+        if (!primary || (!areAllReported && !isReported(primary->record, state, primary->revision)))
             continue;
         PrimaryReport report;
         report.group = group;
@@ -66,43 +163,11 @@
     return message;
 }
 
-void FleetEngine::computeShares()
-{
-    shares_.clear();
-    if (!isLeader())
-        return;
-    shares_[self_.node] = demand_;
-    for (const auto &[node, peer] : peers_.all()) {
-        if (view_.findMember(node))
-            shares_[node] = peer.last.demand;
-    }
-    std::map<Core::TeamName, double> sums;
-    for (const auto &[node, demand] : shares_) {
-        for (const auto &[team, perSecond] : demand)
-            sums[team] += perSecond;
-    }
-    for (auto &[node, demand] : shares_) {
-        for (auto &[team, perSecond] : demand)
-            perSecond /= sums.at(team);
-    }
-}
-
-double FleetEngine::shareOf(const Core::TeamName &team, Core::Instant now) const
+bool FleetEngine::isInContact(Core::Instant now) const
 {
-    // All shares come from the leader's one table, so that they never add up to more than one. The
-    // other half is split evenly: a proxy whose callers come suddenly needn't wait for the leader.
-    constexpr double byDemand = 0.5;
-    const double even = 1 / static_cast<double>(memberCount());
-    const auto &leader = view_.leader();
-    if (!leader || (!isLeader() && !peers_.isHeard(leader->record.node, peerSilence, now)))
-        return even;
-    const auto own = shares_.find(self_.node);
-    if (isLeader() && own == shares_.end())
-        return even;
-    const TeamShares &shares =
-        isLeader() ? own->second : peers_.find(leader->record.node)->last.shares;
-    const auto share = shares.find(team);
-    return (1 - byDemand) * even + byDemand * (share == shares.end() ? 0 : share->second);
+    const bool isConfirmed =
+        storeSeenAt_ != Core::Instant() && now < storeSeenAt_ + ownerStoreSilence;
+    return isConfirmed || 2 * heardCount(now) > contacts_.size() + 1;
 }
 
 } // namespace Chervilpin::Fleet
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -37,10 +37,9 @@
 
 std::size_t FleetEngine::heardCount(Core::Instant now) const
 {
-    const auto count = std::ranges::count_if(view_.members(), [&](const auto &entry) {
-        return entry.first == self_.node || peers_.isHeard(entry.first, peerSilence, now);
-    });
-    return static_cast<std::size_t>(count);
+    const auto count = std::ranges::count_if(
+        contacts_, [&](const auto &node) { return peers_.isHeard(node, peerSilence, now); });
+    return static_cast<std::size_t>(count) + 1;
 }
 
 bool FleetEngine::isInTouch(Core::Instant now) const
@@ -61,6 +60,9 @@
     if (!view_.isMember(record.node, record.boot))
         return true;
     const auto *peer = peers_.find(record.node);
+    // A new leader is yet to send its first heartbeat.
+    if (now < leaderSince_ + peerSilence)
+        return false;
     // Silence of the leader means little just after this proxy itself was cut off.
     if (!peer || now >= peer->heardAt + peerSilence)
         return isInTouch(now);
--- a/Libraries/Fleet/FleetView.cpp
+++ b/Libraries/Fleet/FleetView.cpp
@@ -1,6 +1,7 @@
 #include <Fleet/FleetView.h>
 
 #include <Core/Overloaded.h>
+#include <Core/Rank.h>
 
 #include <set>
 
@@ -83,6 +84,15 @@
     return found == primaries_.end() ? nullptr : &found->second;
 }
 
+std::uint64_t FleetView::recordsSum() const
+{
+    // A sum of well mixed values doesn't depend on the order.
+    std::uint64_t sum = 0;
+    for (const auto &[group, primary] : primaries_)
+        sum += Core::rankOf(Core::NodeName(group.view()), std::to_string(primary.revision));
+    return sum;
+}
+
 bool FleetView::isMember(const Core::NodeName &node, Boot boot) const
 {
     const auto *member = findMember(node);
--- a/Libraries/Fleet/FleetView.h
+++ b/Libraries/Fleet/FleetView.h
@@ -40,6 +40,8 @@
     [[nodiscard]] const std::optional<Stored<LeaderRecord>> &leader() const { return leader_; }
     [[nodiscard]] const Stored<MemberRecord> *findMember(const Core::NodeName &) const;
     [[nodiscard]] const Stored<PrimaryRecord> *findPrimary(const Core::GroupName &) const;
+    /// Over the revisions of all primary records; equal if the records are the same.
+    [[nodiscard]] std::uint64_t recordsSum() const;
     /// Whether this life of the node is a member that may hold rights.
     [[nodiscard]] bool isMember(const Core::NodeName &, Boot) const;
 
--- a/Libraries/Fleet/Heartbeat.h
+++ b/Libraries/Fleet/Heartbeat.h
@@ -42,12 +42,14 @@
 
     std::optional<Core::Duration> confirmedAge; ///< Since the store confirmed the primaries below.
     bool isReceiverMember = false; ///< Whether the receiver then was a member that isn't retired.
+    /// Over the revisions of all primary records that the sender knows. Equal sums mean that both
+    /// know the same records.
+    std::uint64_t recordsSum = 0;
+    /// All groups if details are asked for, else those where something is under way.
     std::vector<PrimaryReport> primaries;
-    std::map<Core::TeamName, double> demand; ///< Of the sender, in operations per second.
-    /// From the leader: the receiver's part of the whole fleet's demand, 0 to 1.
-    std::map<Core::TeamName, double> shares;
     std::uint64_t configurationVersion = 0;
     bool wantsReply = false;
+    bool wantsDetails = false; ///< The receiver is to report all groups for a while.
 };
 
 } // namespace Chervilpin::Fleet
--- a/Libraries/Fleet/StoreFeed.cpp
+++ b/Libraries/Fleet/StoreFeed.cpp
@@ -14,6 +14,9 @@
 constexpr Core::Duration firstDelay{150};
 /// Bounds the calls that an unreachable store is charged with, and how late its return is noticed.
 constexpr Core::Duration longestDelay{600};
+/// Between two watches. When all proxies of a large fleet register at once, each would otherwise
+/// make a call for each of them. Well within the 250 ms of the users' tightest bound.
+constexpr Core::Duration watchInterval{200};
 
 } // namespace
 
@@ -28,6 +31,12 @@
     return Watch{since_, wait_};
 }
 
+Core::Duration StoreFeed::pause(Core::Instant askedAt, Core::Instant now) const
+{
+    const Core::Instant earliest = askedAt + watchInterval;
+    return isListing_ || now >= earliest ? Core::Duration() : earliest - now;
+}
+
 Core::Duration StoreFeed::timeout() const
 {
     return isListing_ ? answerTime : wait_ + answerTime;
--- a/Libraries/Fleet/StoreFeed.h
+++ b/Libraries/Fleet/StoreFeed.h
@@ -33,6 +33,9 @@
     [[nodiscard]] Call next() const;
     /// How long to wait before it, after a failure.
     [[nodiscard]] Core::Duration delay() const { return delay_; }
+    /// How long to wait before it, if the last call was made at \a askedAt. Changes that come in
+    /// quick succession are taken together; a first change after a quiet time is told at once.
+    [[nodiscard]] Core::Duration pause(Core::Instant askedAt, Core::Instant now) const;
     /// How long its answer may take.
     [[nodiscard]] Core::Duration timeout() const;
 
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -2,11 +2,26 @@
 
 #include <Core/Milliseconds.h>
 
+#include <cstddef>
+
 namespace Chervilpin::Fleet {
 
 /// Between two heartbeats to the same proxy without news. Keeps control traffic far below the
 /// 2 KB/s that a node may spend.
 constexpr Core::Duration beatInterval{1'000};
+/// Each proxy exchanges heartbeats with so many neighbours on either side, in an order of all
+/// members by hash, and with the leader. What a proxy sends doesn't grow with the fleet.
+constexpr std::size_t neighboursOnASide = 2;
+/// A proxy without contact to the store for this long also asks other members than its neighbours
+/// for confirmations. Longer than the wait of a quiet watch.
+constexpr Core::Duration helpWantedAfter{4'500};
+/// So many at a time.
+constexpr std::size_t helpersAsked = 3;
+/// Proxies that know different records tell each other all of theirs this often at most.
+constexpr Core::Duration differenceInterval{250};
+/// A proxy that can't say whether it is still a member, and hears less than half of its contacts,
+/// acts no more as the owner of teams' rates. Retiring a silent member takes about as long.
+constexpr Core::Duration ownerStoreSilence{5'000};
 /// A proxy that isn't heard for this long is taken as out of reach: two lost heartbeats.
 constexpr Core::Duration peerSilence{2'600};
 /// A leader that had no contact with the store for this long is replaced if another has it. Longer
--- a/Libraries/FleetWire/HeartbeatCodec.cpp
+++ b/Libraries/FleetWire/PeerMessageCodec.cpp
@@ -1,8 +1,6 @@
-#include <FleetWire/HeartbeatCodec.h>
+#include <FleetWire/PeerMessageCodec.h>
 
-#include <cmath>
 #include <fleet.pb.h>
-#include <set>
 
 namespace Chervilpin::FleetWire {
 
@@ -10,11 +8,6 @@
 
 namespace wire = chervilpin::fleet;
 
-/// Demand is told in tenths of an operation per second.
-constexpr double demandScale = 10.0;
-/// Shares are told in ten-thousandths.
-constexpr double shareScale = 10'000.0;
-
 wire::Primary_Health toWire(Fleet::Health health)
 {
     switch (health) {
@@ -70,34 +63,62 @@
     return report;
 }
 
-std::uint32_t scaled(const std::map<Core::TeamName, double> &values, const Core::TeamName &team,
-                     double scale)
+Core::ErrorOr<PeerMessage> read(const wire::Heartbeat &message)
 {
-    const auto value = values.find(team);
-    return value == values.end() ? 0
-                                 : static_cast<std::uint32_t>(std::lround(value->second * scale));
+    if (message.node().empty())
+        return Core::failure(Core::ErrorCode::InvalidArgument, "the heartbeat names no node");
+    Fleet::Heartbeat heartbeat;
+    heartbeat.node = Core::NodeName(message.node());
+    heartbeat.boot = message.boot();
+    heartbeat.sentAt = Core::Instant(static_cast<std::int64_t>(message.sent_at()));
+    heartbeat.echoBoot = message.echo_boot();
+    heartbeat.echoSentAt = Core::Instant(static_cast<std::int64_t>(message.echo_sent_at()));
+    heartbeat.echoHeld = Core::Duration(message.echo_held_ms());
+    if (message.has_confirmed_ms())
+        heartbeat.confirmedAge = Core::Duration(message.confirmed_ms());
+    heartbeat.isReceiverMember = message.is_receiver_member();
+    heartbeat.configurationVersion = message.configuration_version();
+    heartbeat.recordsSum = message.records_sum();
+    heartbeat.wantsReply = message.wants_reply();
+    heartbeat.wantsDetails = message.wants_details();
+    for (const auto &primary : message.primaries())
+        heartbeat.primaries.push_back(read(primary));
+    return heartbeat;
 }
 
-void writeTeams(const Fleet::Heartbeat &heartbeat, wire::Heartbeat &message)
+Core::ErrorOr<PeerMessage> read(const wire::RateAsk &message)
 {
-    std::set<Core::TeamName> teams;
-    for (const auto &[team, demand] : heartbeat.demand)
-        teams.insert(team);
-    for (const auto &[team, share] : heartbeat.shares)
-        teams.insert(team);
-    for (const auto &team : teams) {
-        auto &entry = *message.add_teams();
-        entry.set_team(team.value());
-        entry.set_tenths_per_second(scaled(heartbeat.demand, team, demandScale));
-        entry.set_share_per_10000(scaled(heartbeat.shares, team, shareScale));
-    }
+    if (message.team().empty() || message.reply_to().empty())
+        return Core::failure(Core::ErrorCode::InvalidArgument,
+                             "the ask names no team or no address to answer to");
+    Rates::Ask ask;
+    ask.id = message.id();
+    ask.replyTo = message.reply_to();
+    ask.team = Core::TeamName(message.team());
+    ask.role = message.is_to_stand_in() ? Rates::Role::StandIn : Rates::Role::Owner;
+    ask.needed = message.needed();
+    ask.ahead = message.ahead();
+    return ask;
+}
+
+Core::ErrorOr<PeerMessage> read(const wire::RateGrant &message)
+{
+    Rates::Grant grant;
+    grant.id = message.id();
+    grant.team = Core::TeamName(message.team());
+    grant.from = Core::NodeName(message.from());
+    grant.isOwner = !message.is_refused();
+    grant.operations = message.operations();
+    grant.retryAfter = Core::Duration(message.retry_after_ms());
+    return grant;
 }
 
 } // namespace
 
 std::string encode(const Fleet::Heartbeat &heartbeat)
 {
-    wire::Heartbeat message;
+    wire::PeerMessage envelope;
+    wire::Heartbeat &message = *envelope.mutable_heartbeat();
     message.set_node(heartbeat.node.value());
     message.set_boot(heartbeat.boot);
     message.set_sent_at(static_cast<std::uint64_t>(heartbeat.sentAt.millisecondsSinceOrigin()));
@@ -111,40 +132,51 @@
     message.set_is_receiver_member(heartbeat.isReceiverMember);
     message.set_configuration_version(heartbeat.configurationVersion);
     message.set_wants_reply(heartbeat.wantsReply);
+    message.set_wants_details(heartbeat.wantsDetails);
+    message.set_records_sum(heartbeat.recordsSum);
     for (const auto &report : heartbeat.primaries)
         write(report, *message.add_primaries());
-    writeTeams(heartbeat, message);
-    return message.SerializeAsString();
+    return envelope.SerializeAsString();
 }
 
-Core::ErrorOr<Fleet::Heartbeat> decode(std::string_view datagram)
+std::string encode(const Rates::Ask &ask)
 {
-    wire::Heartbeat message;
-    if (!message.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()))
-        || message.node().empty())
-        return Core::failure(Core::ErrorCode::InvalidArgument, "the datagram is no heartbeat");
-    Fleet::Heartbeat heartbeat;
-    heartbeat.node = Core::NodeName(message.node());
-    heartbeat.boot = message.boot();
-    heartbeat.sentAt = Core::Instant(static_cast<std::int64_t>(message.sent_at()));
-    heartbeat.echoBoot = message.echo_boot();
-    heartbeat.echoSentAt = Core::Instant(static_cast<std::int64_t>(message.echo_sent_at()));
-    heartbeat.echoHeld = Core::Duration(message.echo_held_ms());
-    if (message.has_confirmed_ms())
-        heartbeat.confirmedAge = Core::Duration(message.confirmed_ms());
-    heartbeat.isReceiverMember = message.is_receiver_member();
-    heartbeat.configurationVersion = message.configuration_version();
-    heartbeat.wantsReply = message.wants_reply();
-    for (const auto &primary : message.primaries())
-        heartbeat.primaries.push_back(read(primary));
-    for (const auto &entry : message.teams()) {
-        const Core::TeamName team(entry.team());
-        if (entry.tenths_per_second() > 0)
-            heartbeat.demand[team] = entry.tenths_per_second() / demandScale;
-        if (entry.share_per_10000() > 0)
-            heartbeat.shares[team] = entry.share_per_10000() / shareScale;
-    }
-    return heartbeat;
+    wire::PeerMessage envelope;
+    wire::RateAsk &message = *envelope.mutable_rate_ask();
+    message.set_id(ask.id);
+    message.set_reply_to(ask.replyTo);
+    message.set_team(ask.team.value());
+    message.set_is_to_stand_in(ask.role == Rates::Role::StandIn);
+    message.set_needed(ask.needed);
+    message.set_ahead(ask.ahead);
+    return envelope.SerializeAsString();
+}
+
+std::string encode(const Rates::Grant &grant)
+{
+    wire::PeerMessage envelope;
+    wire::RateGrant &message = *envelope.mutable_rate_grant();
+    message.set_id(grant.id);
+    message.set_team(grant.team.value());
+    message.set_from(grant.from.value());
+    message.set_is_refused(!grant.isOwner);
+    message.set_operations(grant.operations);
+    message.set_retry_after_ms(static_cast<std::uint32_t>(grant.retryAfter.milliseconds()));
+    return envelope.SerializeAsString();
+}
+
+Core::ErrorOr<PeerMessage> decode(std::string_view datagram)
+{
+    wire::PeerMessage envelope;
+    const bool isParsed =
+        envelope.ParseFromArray(datagram.data(), static_cast<int>(datagram.size()));
+    if (isParsed && envelope.has_heartbeat())
+        return read(envelope.heartbeat());
+    if (isParsed && envelope.has_rate_ask())
+        return read(envelope.rate_ask());
+    if (isParsed && envelope.has_rate_grant())
+        return read(envelope.rate_grant());
+    return Core::failure(Core::ErrorCode::InvalidArgument, "the datagram is of no known kind");
 }
 
 } // namespace Chervilpin::FleetWire
--- a/Libraries/Membership/Manager.cpp
+++ b/Libraries/Membership/Manager.cpp
@@ -1,6 +1,6 @@
 #include <Membership/Manager.h>
 
-#include <Membership/Rank.h>
+#include <Core/Rank.h>
 
 #include <algorithm>
 #include <bit>
@@ -318,7 +318,7 @@
             ring_.push_back(member.name);
     }
     std::ranges::sort(ring_, [](const Core::NodeName &a, const Core::NodeName &b) {
-        return rankOf(a, ringDuty) < rankOf(b, ringDuty);
+        return Core::rankOf(a, ringDuty) < Core::rankOf(b, ringDuty);
     });
     std::map<Core::NodeName, Core::Instant> watched;
     const auto own =
@@ -424,10 +424,10 @@
 
 bool Manager::isLister() const
 {
-    const auto own = rankOf(settings_.self, listerDuty);
+    const auto own = Core::rankOf(settings_.self, listerDuty);
     const auto before = std::ranges::count_if(table_.members(), [&](const Member &member) {
         return member.isUsable() && member.dataCentre == settings_.dataCentre
-            && rankOf(member.name, listerDuty) < own;
+            && Core::rankOf(member.name, listerDuty) < own;
     });
     return static_cast<std::uint32_t>(before) < settings_.listersPerDataCentre;
 }
--- a/Libraries/Membership/StatusBoard.cpp
+++ b/Libraries/Membership/StatusBoard.cpp
@@ -1,6 +1,6 @@
 #include <Membership/StatusBoard.h>
 
-#include <Membership/Rank.h>
+#include <Core/Rank.h>
 
 #include <algorithm>
 #include <tuple>
@@ -35,8 +35,8 @@
 {
     Core::NodeName best;
     const auto consider = [&](const Core::NodeName &name) {
-        const bool isBetter =
-            best.isEmpty() || rankOf(name, aggregatorDuty) < rankOf(best, aggregatorDuty);
+        const bool isBetter = best.isEmpty()
+            || Core::rankOf(name, aggregatorDuty) < Core::rankOf(best, aggregatorDuty);
         if (isBetter)
             best = name;
     };
--- /dev/null
+++ b/Libraries/Rates/Messages.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+
+#include <cstdint>
+#include <string>
+
+/// How a team's rate is kept over the whole fleet.
+///
+/// Each team has an owner among the proxies, found by rendezvous hashing. The owner keeps the
+/// team's one token bucket, and the other proxies ask it for what their callers want to start.
+namespace Chervilpin::Rates {
+
+/// Which of a team's buckets is asked.
+enum class Role {
+    Owner,
+    StandIn, ///< Of the asker's data centre, while the owner doesn't answer there.
+};
+
+/// From a proxy to the owner of a team's rate.
+struct Ask
+{
+    std::uint64_t id = 0; ///< Differs between the asks of one life of a proxy.
+    std::string replyTo;  ///< IP:port of the asker.
+    Core::TeamName team;
+    Role role = Role::Owner;
+    std::uint32_t needed = 0; ///< Operations that wait.
+    std::uint32_t ahead = 0;  ///< Operations that are expected soon.
+};
+
+/// The answer to an ask.
+struct Grant
+{
+    std::uint64_t id = 0;
+    Core::TeamName team;
+    Core::NodeName from;
+    bool isOwner = true;          ///< False: the answering proxy doesn't have this role.
+    std::uint32_t operations = 0; ///< That may be started.
+    Core::Duration retryAfter;    ///< Until there is one more, if fewer than needed were granted.
+};
+
+} // namespace Chervilpin::Rates
--- /dev/null
+++ b/Libraries/Rates/OwnerTable.cpp
@@ -0,0 +1,55 @@
+#include <Rates/OwnerTable.h>
+
+#include <Core/Rank.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Chervilpin::Rates {
+
+OwnerTable::OwnerTable(Core::DataCentreName dataCentre)
+    : dataCentre_(std::move(dataCentre))
+{ }
+
+void OwnerTable::setMembers(std::vector<Member> members)
+{
+    members_ = std::move(members);
+    found_.clear();
+}
+
+const Owners &OwnerTable::ownersOf(const Core::TeamName &team)
+{
+    const auto found = found_.find(team);
+    if (found != found_.end())
+        return found->second;
+    return found_.emplace(team, find(team)).first->second;
+}
+
+Owners OwnerTable::find(const Core::TeamName &team) const
+{
+    const auto rank = [&](const Member &member) {
+        return Core::rankOf(member.node, team.view());
+    };
+    Owners owners;
+    const auto owner = std::ranges::max_element(members_, {}, rank);
+    if (owner == members_.end())
+        return owners;
+    owners.owner = *owner;
+    for (const auto &member : members_) {
+        if (member.dataCentre != dataCentre_ || member.node == owner->node)
+            continue;
+        if (!owners.standIn || rank(member) > rank(*owners.standIn))
+            owners.standIn = member;
+    }
+    return owners;
+}
+
+std::size_t OwnerTable::dataCentreCount() const
+{
+    std::set<Core::DataCentreName> seen;
+    for (const auto &member : members_)
+        seen.insert(member.dataCentre);
+    return seen.size();
+}
+
+} // namespace Chervilpin::Rates
--- /dev/null
+++ b/Libraries/Rates/OwnerTable.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <Core/Name.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Chervilpin::Rates {
+
+/// A proxy that may own teams' rates.
+struct Member
+{
+    Core::NodeName node;
+    Core::DataCentreName dataCentre;
+    std::string address; ///< IP:port for messages of other proxies.
+
+    bool operator==(const Member &) const = default;
+};
+
+/// Who is asked for a team's operations.
+struct Owners
+{
+    std::optional<Member> owner;
+    std::optional<Member> standIn; ///< The next by rank in the asker's data centre.
+};
+
+/// Finds the owners of teams by rendezvous hashing, so that a change of the members moves only the
+/// teams of those that came or went.
+class OwnerTable
+{
+public:
+    explicit OwnerTable(Core::DataCentreName dataCentre);
+
+    void setMembers(std::vector<Member>);
+    [[nodiscard]] const Owners &ownersOf(const Core::TeamName &);
+    [[nodiscard]] const std::vector<Member> &members() const { return members_; }
+    [[nodiscard]] std::size_t dataCentreCount() const;
+
+private:
+    [[nodiscard]] Owners find(const Core::TeamName &) const;
+
+    Core::DataCentreName dataCentre_;
+    std::vector<Member> members_;
+    std::map<Core::TeamName, Owners> found_;
+};
+
+} // namespace Chervilpin::Rates
--- /dev/null
+++ b/Libraries/Rates/RateDesk.cpp
@@ -0,0 +1,309 @@
+#include <Rates/RateDesk.h>
+
+#include <Rates/Timing.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Chervilpin::Rates {
+
+namespace {
+
+/// The part of a rate that is split evenly over the proxies, for teams where that is worth having.
+/// It goes on while the owner is out of reach, and spares most asks in a small fleet.
+constexpr double evenlySplit = 0.5;
+/// An even part with a smaller burst than this would hardly ever admit anything.
+constexpr double leastEvenBurst = 1.0;
+/// Beyond a team's limit the users accept a tenth, and 20 operations in 5 s.
+constexpr double acceptedExcess = 0.1;
+constexpr double acceptedPerSecond = 4.0;
+/// All stand-ins together use up this much of what is accepted.
+constexpr double standInPart = 0.8;
+
+double seconds(Core::Duration span)
+{
+    return static_cast<double>(span.milliseconds()) / 1'000.0;
+}
+
+} // namespace
+
+RateDesk::RateDesk(Member self)
+    : self_(std::move(self))
+    , owners_(self_.dataCentre)
+{
+    owners_.setMembers({self_});
+}
+
+double RateDesk::evenFraction(const Sessions::TeamLimits &limits) const
+{
+    const double burst = limits.burst * evenlySplit / static_cast<double>(proxies_);
+    return burst >= leastEvenBurst ? evenlySplit : 0;
+}
+
+Sessions::TeamLimits RateDesk::standInLimits(const Sessions::TeamLimits &limits) const
+{
+    const auto dataCentres =
+        static_cast<double>(std::max<std::size_t>(owners_.dataCentreCount(), 1));
+    const double accepted = limits.ratePerSecond * acceptedExcess + acceptedPerSecond;
+    const double perSecond = std::min(limits.ratePerSecond, accepted * standInPart) / dataCentres;
+    return {perSecond, std::max(1.0, std::min(limits.burst, perSecond))};
+}
+
+void RateDesk::applyParts(const Core::TeamName &team, Account &account, Core::Instant now)
+{
+    const double even = evenFraction(account.limits);
+    account.evenPart.setShare(even / static_cast<double>(proxies_), now);
+    account.evenPart.setLimits(account.limits, now);
+    if (const auto owned = owned_.find(team); owned != owned_.end()) {
+        owned->second.setShare(1 - even, now);
+        owned->second.setLimits(account.limits, now);
+    }
+    if (const auto standIn = standIns_.find(team); standIn != standIns_.end())
+        standIn->second.setLimits(standInLimits(account.limits), now);
+}
+
+void RateDesk::setLimits(const std::map<Core::TeamName, Sessions::TeamLimits> &limits,
+                         Core::Instant now)
+{
+    for (const auto &[team, limit] : limits) {
+        Account &account = accounts_[team];
+        account.limits = limit;
+        applyParts(team, account, now);
+    }
+    for (auto &[team, account] : accounts_) {
+        if (!limits.contains(team))
+            refuse(account, account.waiting.size(), nobodyRetry, "the team is gone");
+    }
+    const auto isGone = [&](const auto &entry) {
+        return !limits.contains(entry.first);
+    };
+    std::erase_if(accounts_, isGone);
+    std::erase_if(owned_, isGone);
+    std::erase_if(standIns_, isGone);
+    std::erase_if(asking_, [&](const auto &team) { return !limits.contains(team); });
+}
+
+void RateDesk::setMembers(std::vector<Member> members, std::size_t proxies, Core::Instant now)
+{
+    proxies_ = std::max<std::size_t>(proxies, 1);
+    if (members != owners_.members()) {
+        owners_.setMembers(std::move(members));
+        membersSince_ = now;
+        std::erase_if(owned_,
+                      [&](const auto &entry) { return !hasRole(entry.first, Role::Owner); });
+    }
+    for (auto &[team, account] : accounts_)
+        applyParts(team, account, now);
+}
+
+bool RateDesk::hasRole(const Core::TeamName &team, Role role)
+{
+    // Any proxy may be taken for a stand-in by one that knows other members; its part is small.
+    if (role == Role::StandIn)
+        return true;
+    const auto &owner = owners_.ownersOf(team).owner;
+    return contact_ == Contact::Good && owner && owner->node == self_.node;
+}
+
+TeamRate &RateDesk::bucketOf(const Core::TeamName &team, const Account &account, Role role,
+                             Core::Instant now)
+{
+    Buckets &buckets = role == Role::Owner ? owned_ : standIns_;
+    const auto found = buckets.find(team);
+    if (found != buckets.end())
+        return found->second;
+    TeamRate &bucket = buckets[team];
+    if (role == Role::Owner) {
+        bucket.setShare(1 - evenFraction(account.limits), now);
+        bucket.setLimits(account.limits, now);
+    } else {
+        bucket.setShare(1, now);
+        bucket.setLimits(standInLimits(account.limits), now);
+    }
+    // The owner before may have spent the burst, so only what came in since then is there.
+    bucket.startWith(1 + bucket.ratePerSecond() * seconds(now - membersSince_));
+    return bucket;
+}
+
+Grant RateDesk::asked(const Ask &ask, Core::Instant now)
+{
+    Grant grant;
+    grant.id = ask.id;
+    grant.team = ask.team;
+    grant.from = self_.node;
+    const auto account = accounts_.find(ask.team);
+    grant.isOwner = account != accounts_.end() && hasRole(ask.team, ask.role);
+    if (!grant.isOwner)
+        return grant;
+    TeamRate &bucket = bucketOf(ask.team, account->second, ask.role, now);
+    while (grant.operations < ask.needed && bucket.take(now))
+        ++grant.operations;
+    if (grant.operations < ask.needed) {
+        grant.retryAfter = bucket.waitForNext();
+        return grant;
+    }
+    // Expectations are met from the upper half only, so that they take nothing that others need.
+    for (std::uint32_t extra = 0; extra < ask.ahead && bucket.isOverHalfFull(); ++extra) {
+        if (!bucket.take(now))
+            break;
+        ++grant.operations;
+    }
+    return grant;
+}
+
+void RateDesk::take(const Core::TeamName &team, Ticket ticket, Core::Instant now)
+{
+    const auto found = accounts_.find(team);
+    if (found == accounts_.end() || found->second.limits.ratePerSecond <= 0) {
+        decisions_.push_back({ticket, true, {}, 0, "no limit"});
+        return;
+    }
+    found->second.evenPart.noteDemand(now);
+    found->second.waiting.push_back(ticket);
+    serve(team, found->second, now);
+}
+
+bool RateDesk::spend(Account &account, Core::Instant now)
+{
+    if (now >= account.heldUntil)
+        account.held = 0;
+    if (account.held > 0) {
+        --account.held;
+        return true;
+    }
+    return account.evenPart.share() > 0 && account.evenPart.take(now);
+}
+
+void RateDesk::serve(const Core::TeamName &team, Account &account, Core::Instant now)
+{
+    while (!account.waiting.empty() && spend(account, now)) {
+        decisions_.push_back({account.waiting.front(), true, {}, 0, self_.node.value()});
+        account.waiting.pop_front();
+    }
+    if (!account.waiting.empty() && !account.outstanding)
+        ask(team, account, now);
+}
+
+bool RateDesk::isSilent(const Core::NodeName &node, Core::Instant now) const
+{
+    const auto found = silentUntil_.find(node);
+    return found != silentUntil_.end() && now < found->second;
+}
+
+std::optional<Role> RateDesk::usableRole(const Core::TeamName &team, Core::Instant now)
+{
+    const Owners &owners = owners_.ownersOf(team);
+    if (owners.owner && !isSilent(owners.owner->node, now))
+        return Role::Owner;
+    if (owners.standIn && !isSilent(owners.standIn->node, now))
+        return Role::StandIn;
+    return {};
+}
+
+void RateDesk::ask(const Core::TeamName &team, Account &account, Core::Instant now)
+{
+    const auto role = usableRole(team, now);
+    if (!role) {
+        refuse(account, account.waiting.size(), nobodyRetry, "no owner answers");
+        return;
+    }
+    const Owners &owners = owners_.ownersOf(team);
+    const Member &to = *role == Role::Owner ? *owners.owner : *owners.standIn;
+    Ask ask;
+    ask.id = nextAsk_++;
+    ask.replyTo = self_.address;
+    ask.team = team;
+    ask.role = *role;
+    ask.needed = static_cast<std::uint32_t>(account.waiting.size());
+    ask.ahead =
+        static_cast<std::uint32_t>(account.evenPart.demandPerSecond(now) * seconds(aheadOfNeed));
+    account.outstanding = Outstanding{ask.id, *role, to.node, ask.needed, now};
+    asking_.insert(team);
+    if (to.node == self_.node)
+        granted(asked(ask, now), now);
+    else
+        asks_.push_back({to.address, std::move(ask)});
+}
+
+void RateDesk::granted(const Grant &grant, Core::Instant now)
+{
+    const auto found = accounts_.find(grant.team);
+    if (found == accounts_.end())
+        return;
+    Account &account = found->second;
+    if (!account.outstanding || account.outstanding->id != grant.id)
+        return;
+    const Outstanding asked = *account.outstanding;
+    account.outstanding.reset();
+    asking_.erase(grant.team);
+    if (!grant.isOwner) {
+        silentUntil_[asked.to] = now + wrongOwnerTime;
+        serve(grant.team, account, now);
+        return;
+    }
+    account.held = (now < account.heldUntil ? account.held : 0) + grant.operations;
+    account.heldUntil = asked.askedAt + grantLifetime;
+    const std::size_t lacking =
+        asked.needed > grant.operations ? asked.needed - grant.operations : 0;
+    const std::size_t before = account.waiting.size();
+    while (!account.waiting.empty() && spend(account, now)) {
+        decisions_.push_back({account.waiting.front(), true, {}, 0, grant.from.value()});
+        account.waiting.pop_front();
+    }
+    const std::size_t served = before - account.waiting.size();
+    const std::size_t unserved = asked.needed > served ? asked.needed - served : 0;
+    refuse(account, std::min(lacking, unserved), grant.retryAfter, grant.from.value());
+    serve(grant.team, account, now);
+}
+
+void RateDesk::refuse(Account &account, std::size_t count, Core::Duration retryAfter,
+                      const std::string &decidedBy)
+{
+    // Those refused together are told to come back one after the other, as the rate allows.
+    constexpr double second = 1'000.0;
+    const double rate = account.limits.ratePerSecond;
+    const Core::Duration gap(rate > 0 ? static_cast<std::int64_t>(std::ceil(second / rate)) : 0);
+    Core::Duration wait = retryAfter;
+    for (std::size_t i = 0; i < count && !account.waiting.empty(); ++i) {
+        decisions_.push_back({account.waiting.front(), false, wait, rate, decidedBy});
+        account.waiting.pop_front();
+        wait = wait + gap;
+    }
+}
+
+Core::Instant RateDesk::nextDeadline() const
+{
+    Core::Instant due(std::numeric_limits<std::int64_t>::max());
+    for (const auto &team : asking_)
+        due = std::min(due, accounts_.at(team).outstanding->askedAt + askTime);
+    return due;
+}
+
+void RateDesk::advance(Core::Instant now)
+{
+    std::vector<Core::TeamName> late;
+    for (const auto &team : asking_) {
+        if (now >= accounts_.at(team).outstanding->askedAt + askTime)
+            late.push_back(team);
+    }
+    for (const auto &team : late) {
+        Account &account = accounts_.at(team);
+        silentUntil_[account.outstanding->to] = now + silentOwnerTime;
+        account.outstanding.reset();
+        asking_.erase(team);
+        serve(team, account, now);
+    }
+}
+
+std::vector<Decision> RateDesk::takeDecisions()
+{
+    return std::exchange(decisions_, {});
+}
+
+std::vector<AddressedAsk> RateDesk::takeAsks()
+{
+    return std::exchange(asks_, {});
+}
+
+} // namespace Chervilpin::Rates
--- a/Libraries/Sessions/TeamRate.cpp
+++ b/Libraries/Rates/TeamRate.cpp
@@ -1,14 +1,14 @@
-#include <Sessions/TeamRate.h>
+#include <Rates/TeamRate.h>
 
 #include <algorithm>
 #include <cmath>
 
-namespace Chervilpin::Sessions {
+namespace Chervilpin::Rates {
 
 namespace {
 
-/// Demand is averaged over about this span: longer than the exchange of shares between proxies, and
-/// shorter than the 5 s window over which the users count a team's operations.
+/// Demand is averaged over about this span: longer than the gaps between a busy team's operations,
+/// and shorter than the 5 s window over which the users count a team's operations.
 constexpr Core::Duration demandSpan{1'500};
 /// A process starts with this part of its burst: its predecessor may have spent the whole of it.
 constexpr double initialFill = 0.5;
@@ -27,7 +27,7 @@
     return std::max(leastCapacity, limits_.burst * share_);
 }
 
-void TeamRate::setLimits(TeamLimits limits, Core::Instant now)
+void TeamRate::setLimits(Sessions::TeamLimits limits, Core::Instant now)
 {
     refill(now);
     limits_ = limits;
@@ -56,10 +56,24 @@
     tokens_ = std::min(tokens_, capacity());
 }
 
-bool TeamRate::take(Core::Instant now)
+void TeamRate::startWith(double tokens)
+{
+    tokens_ = std::min(tokens, capacity());
+}
+
+bool TeamRate::isOverHalfFull() const
+{
+    return limits_.ratePerSecond <= 0 || tokens_ > capacity() / 2;
+}
+
+void TeamRate::noteDemand(Core::Instant now)
 {
     decayDemand(now);
     demand_ += 1;
+}
+
+bool TeamRate::take(Core::Instant now)
+{
     if (limits_.ratePerSecond <= 0)
         return true;
     refill(now);
@@ -89,4 +103,4 @@
         / seconds(demandSpan);
 }
 
-} // namespace Chervilpin::Sessions
+} // namespace Chervilpin::Rates
--- a/Libraries/Sessions/TeamRate.h
+++ b/Libraries/Rates/TeamRate.h
@@ -3,25 +3,31 @@
 #include <Core/Milliseconds.h>
 #include <Sessions/RoutingTable.h>
 
-namespace Chervilpin::Sessions {
+namespace Chervilpin::Rates {
 
-/// This proxy's part of one team's rate and burst, as a token bucket.
+/// A part of one team's rate and burst, as a token bucket.
 class TeamRate
 {
 public:
     /// Sets the limits of the whole fleet. A lower limit takes tokens away at once.
-    void setLimits(TeamLimits, Core::Instant now);
-    /// Sets the fraction, 0 to 1, of the limits that this proxy may spend.
+    void setLimits(Sessions::TeamLimits, Core::Instant now);
+    /// Sets the fraction, 0 to 1, of the limits that may be spent here.
     void setShare(double share, Core::Instant now);
+    /// Sets how many operations can be taken at once now, within the burst.
+    void startWith(double tokens);
 
     /// Takes one operation; false if it would exceed the share.
     [[nodiscard]] bool take(Core::Instant now);
+    /// Whether more than half of the burst is left, as of the last taking.
+    [[nodiscard]] bool isOverHalfFull() const;
     [[nodiscard]] double ratePerSecond() const { return limits_.ratePerSecond; }
     [[nodiscard]] double share() const { return share_; }
     /// When the next operation may be taken at the earliest.
     [[nodiscard]] Core::Duration waitForNext() const;
 
-    /// Operations asked for, granted or not, per second; smoothed over some seconds.
+    /// Counts an operation that is asked for, granted or not.
+    void noteDemand(Core::Instant now);
+    /// Operations asked for per second; smoothed over some seconds.
     [[nodiscard]] double demandPerSecond(Core::Instant now) const;
 
 private:
@@ -29,7 +35,7 @@
     void decayDemand(Core::Instant now);
     [[nodiscard]] double capacity() const;
 
-    TeamLimits limits_;
+    Sessions::TeamLimits limits_;
     double share_ = 0;
     double tokens_ = 0;
     Core::Instant refilledAt_;
@@ -38,4 +44,4 @@
     bool isNew_ = true;
 };
 
-} // namespace Chervilpin::Sessions
+} // namespace Chervilpin::Rates
--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -24,6 +24,21 @@
     SessionId session = 0;
 };
 
+/// Asks whether the session's team may start one more operation; admitted() or refused() follows.
+struct RequestAdmission
+{
+    SessionId session = 0;
+    Core::TeamName team;
+};
+
+/// Why an operation may not start now.
+struct RateRefusal
+{
+    Core::Duration retryAfter;
+    double ratePerSecond = 0; ///< Of the team, over the whole fleet.
+    std::string decidedBy;    ///< The proxy that keeps the team's rate, or why none was asked.
+};
+
 /// The whole answer to one statement of a caller.
 struct AnswerSession
 {
@@ -115,8 +130,8 @@
     Core::Duration queued; ///< Of that, until it was sent first.
 };
 
-using Action =
-    std::variant<AcceptSession, AnswerSession, EndSession, OpenConnection, CloseConnection,
-                 SendStatement, ReportHealth, ReportReleased, ReportStatus, LogLine, CountOutcome>;
+using Action = std::variant<AcceptSession, RequestAdmission, AnswerSession, EndSession,
+                            OpenConnection, CloseConnection, SendStatement, ReportHealth,
+                            ReportReleased, ReportStatus, LogLine, CountOutcome>;
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/Session.h
+++ b/Libraries/Sessions/Session.h
@@ -64,11 +64,15 @@
     std::shared_ptr<const Route> route; ///< Of the running operation or transaction.
 
     std::optional<Operation> running;
-    std::deque<Statement> waiting; ///< Sent by the caller before the last answer.
+    std::optional<Statement> atAdmission; ///< Waits for its team's rate.
+    std::deque<Statement> waiting;        ///< Sent by the caller before the last answer.
     Core::Instant lastActive;
     std::optional<Core::Instant> endBy; ///< Then it is closed whatever it does.
     bool isEnded = false;               ///< The shell was asked to close it.
     bool isEnding = false; ///< To be closed once nothing runs and no transaction is open.
+
+    /// Whether the caller waits for an answer.
+    [[nodiscard]] bool isBusy() const { return running || atAdmission; }
 };
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -16,9 +16,6 @@
 void SessionEngine::configure(RoutingTablePointer table, Core::Instant now)
 {
     table_ = std::move(table);
-    for (const auto &[team, limits] : table_->teams)
-        rates_[team].setLimits(limits, now);
-    std::erase_if(rates_, [&](const auto &entry) { return !table_->teams.contains(entry.first); });
     for (const auto &[name, limits] : table_->groups)
         groups_[name].name = name;
     for (auto &[id, session] : sessions_) {
@@ -29,7 +26,7 @@
         const bool isServed = route && (route->isOpenToAll || (team && *team == session.team));
         if (isServed)
             continue;
-        if (!session.running && session.transaction == TransactionStage::None) {
+        if (!session.isBusy() && session.transaction == TransactionStage::None) {
             end(session, {}, {});
             continue;
         }
@@ -165,25 +162,6 @@
     }
 }
 
-void SessionEngine::updateShares(const std::function<double(const Core::TeamName &)> &share,
-                                 Core::Instant now)
-{
-    for (auto &[team, rate] : rates_)
-        rate.setShare(share(team), now);
-}
-
-std::map<Core::TeamName, double> SessionEngine::demand(Core::Instant now) const
-{
-    std::map<Core::TeamName, double> result;
-    for (const auto &[team, rate] : rates_) {
-        constexpr double leastWorthTelling = 0.1;
-        const double perSecond = rate.demandPerSecond(now);
-        if (perSecond >= leastWorthTelling)
-            result[team] = perSecond;
-    }
-    return result;
-}
-
 void SessionEngine::shutDown(Core::Instant transactionsUntil, Core::Instant now)
 {
     isStopping_ = true;
@@ -191,7 +169,7 @@
     for (auto &[id, session] : sessions_) {
         if (session.isEnding)
             continue;
-        const bool isResting = !session.running && session.transaction == TransactionStage::None;
+        const bool isResting = !session.isBusy() && session.transaction == TransactionStage::None;
         if (isResting) {
             end(session, {}, {});
             continue;
@@ -324,7 +302,7 @@
     if (isStopping_ && now >= transactionsUntil_) {
         std::vector<SessionId> late;
         for (const auto &[id, session] : sessions_) {
-            if (!session.running)
+            if (!session.isBusy())
                 late.push_back(id);
         }
         for (const SessionId id : late) {
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -6,7 +6,6 @@
 #include <Sessions/Placement.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/Session.h>
-#include <Sessions/TeamRate.h>
 
 #include <functional>
 #include <map>
@@ -46,9 +45,6 @@
     void grantPrimary(const PrimaryGrant &, Core::Instant now);
     void setMemberCount(std::size_t, Core::Instant now);
     /// Takes over this proxy's fraction of each team's limits.
-    void updateShares(const std::function<double(const Core::TeamName &)> &share,
-                      Core::Instant now);
-    [[nodiscard]] std::map<Core::TeamName, double> demand(Core::Instant now) const;
     /// Asks for a status as soon as a connection allows; never answered if the database is silent.
     void askStatus(const Core::DatabaseName &, Core::Instant now);
     /// Ends all sessions as they come to rest; transactions have until \a transactionsUntil.
@@ -61,6 +57,9 @@
                        Core::Instant now);
     void statement(SessionId, Statement, Core::Instant now);
     void sessionClosed(SessionId, Core::Instant now);
+    /// The answers to RequestAdmission; sessions that are gone are passed over.
+    void admitted(SessionId, Core::Instant now);
+    void refused(SessionId, const RateRefusal &, Core::Instant now);
 
     // Databases.
     void connectionOpened(ConnectionId, std::optional<Core::LogMark>, Core::Instant now);
@@ -84,7 +83,7 @@
     void begin(Session &, const Statement &, Core::Instant now);
     void endUnbegun(Session &, const Statement &, Core::Instant now);
     void rollBackOpen(Session &, Core::Instant now);
-    [[nodiscard]] bool admit(Session &, const Statement &, Core::Instant now);
+    void startOperation(Session &, Statement, Core::Instant now);
     [[nodiscard]] bool refresh(Session &, Core::Instant now);
     void enqueue(Session &, Statement, Core::Instant now);
     void runPinned(Session &, Statement, Core::Instant now);
@@ -166,7 +165,6 @@
     std::unordered_map<ConnectionId, Connection> connections_;
     std::map<Core::DatabaseName, Database> databases_;
     std::map<Core::GroupName, Group> groups_;
-    std::map<Core::TeamName, TeamRate> rates_;
     std::vector<Action> actions_;
     std::priority_queue<Wakeup, std::vector<Wakeup>, std::greater<>> wakeups_;
     std::vector<Core::DatabaseName> statusWanted_;
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -71,7 +71,7 @@
     if (!session || session->isEnded)
         return;
     session->lastActive = now;
-    if (session->running) {
+    if (session->isBusy()) {
         session->waiting.push_back(std::move(statement));
         return;
     }
@@ -96,9 +96,19 @@
             answer(session, {{}, Failure::Malformed, "no transaction is open"}, now);
             return;
         }
-        if (!refresh(session, now) || !admit(session, statement, now))
+        if (!refresh(session, now))
             return;
+        if (!session.team.isEmpty()) {
+            session.atAdmission = std::move(statement);
+            actions_.emplace_back(RequestAdmission{session.id, session.team});
+            return;
+        }
     }
+    startOperation(session, std::move(statement), now);
+}
+
+void SessionEngine::startOperation(Session &session, Statement statement, Core::Instant now)
+{
     if (statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginRead) {
         begin(session, statement, now);
         return;
@@ -141,30 +151,37 @@
     answer(session, std::move(reply), now);
 }
 
-bool SessionEngine::admit(Session &session, const Statement &statement, Core::Instant now)
+void SessionEngine::admitted(SessionId id, Core::Instant now)
 {
-    if (session.team.isEmpty())
-        return true;
-    const auto rate = rates_.find(session.team);
-    if (rate == rates_.end() || rate->second.take(now))
-        return true;
-    const Core::Duration wait = rate->second.waitForNext();
+    Session *session = findSession(id);
+    if (!session || session->isEnded || !session->atAdmission)
+        return;
+    Statement statement = std::move(*session->atAdmission);
+    session->atAdmission.reset();
+    // The configuration may have changed meanwhile.
+    if (refresh(*session, now))
+        startOperation(*session, std::move(statement), now);
+}
+
+void SessionEngine::refused(SessionId id, const RateRefusal &refusal, Core::Instant now)
+{
+    Session *session = findSession(id);
+    if (!session || session->isEnded || !session->atAdmission)
+        return;
+    const Statement statement = std::move(*session->atAdmission);
+    session->atAdmission.reset();
+    const std::string wait = std::to_string(refusal.retryAfter.milliseconds());
     log(Importance::Always, "refused_over_rate",
         {{"id", statement.id},
-         {"session", std::to_string(session.id)},
-         {"team", session.team.value()},
+         {"session", std::to_string(id)},
+         {"team", session->team.value()},
          {"configuration", std::to_string(table_->version)},
-         {"rate", std::to_string(rate->second.ratePerSecond())},
-         {"share", std::to_string(rate->second.share())},
-         {"demand", std::to_string(rate->second.demandPerSecond(now))},
-         {"retry_after_ms", std::to_string(wait.milliseconds())}});
-    answer(
-        session,
-        {{},
-         Failure::Busy,
-         "the team is over its rate; try again in " + std::to_string(wait.milliseconds()) + " ms"},
-        now);
-    return false;
+         {"rate", std::to_string(refusal.ratePerSecond)},
+         {"decided_by", refusal.decidedBy},
+         {"retry_after_ms", wait}});
+    answer(*session, {{}, Failure::Busy, "the team is over its rate; try again in " + wait + " ms"},
+           now);
+    operationEnded(*session, now);
 }
 
 void SessionEngine::begin(Session &session, const Statement &statement, Core::Instant now)
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -282,7 +282,7 @@
 
 void SessionEngine::startNext(Session &session, Core::Instant now)
 {
-    if (session.waiting.empty() || session.running)
+    if (session.waiting.empty() || session.isBusy())
         return;
     Statement next = std::move(session.waiting.front());
     session.waiting.pop_front();
@@ -291,7 +291,7 @@
 
 void SessionEngine::operationEnded(Session &session, Core::Instant)
 {
-    const bool isResting = !session.running && session.transaction == TransactionStage::None
+    const bool isResting = !session.isBusy() && session.transaction == TransactionStage::None
         && session.waiting.empty();
     if (session.isEnding && isResting)
         end(session, {}, {});
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -2,7 +2,7 @@
 
 #include <Core/Overloaded.h>
 #include <Core/SteadyClock.h>
-#include <FleetWire/HeartbeatCodec.h>
+#include <FleetWire/PeerMessageCodec.h>
 #include <Services/SessionProxy/NodeTiming.h>
 
 #include <algorithm>
@@ -42,6 +42,7 @@
     , sessions_(settings_.dataCentre, Core::SteadyClock::now())
     , fleet_({settings_.node, makeBoot(), settings_.dataCentre, settings_.peerListen},
              Core::SteadyClock::now())
+    , rates_({settings_.node, settings_.dataCentre, settings_.peerListen})
     , acceptor_(context)
     , timer_(context)
 { }
@@ -62,15 +63,8 @@
                                  [this](const Http::Request &, const Http::Responder &responder) {
                                      answerMetrics(responder);
                                  }));
-    peers_ = TRY(PeerSocket::create(context_, settings_.peerListen, [this](std::string_view text) {
-        const auto heartbeat = FleetWire::decode(text);
-        if (!heartbeat) {
-            metrics_.add("chervilpin_peer_messages_unreadable_total", "");
-            return;
-        }
-        fleet_.heartbeat(*heartbeat, Core::SteadyClock::now());
-        pump();
-    }));
+    peers_ = TRY(PeerSocket::create(context_, settings_.peerListen,
+                                    [this](std::string_view text) { peerDatagram(text); }));
     TRY(listen());
     startStoreLinks();
     Observe::log(Severity::Info, "started",
@@ -108,16 +102,18 @@
         return;
     isPumping_ = true;
     const Core::Instant now = Core::SteadyClock::now();
-    exchangeShares(now);
+    exchangeState(now);
     const auto expiry = directory_.nextExpiry();
     if (expiry && now >= *expiry)
         applyDirectory(now);
     sessions_.advance(now);
     fleet_.advance(now);
+    rates_.advance(now);
     for (;;) {
         auto sessionActions = sessions_.takeActions();
         auto fleetActions = fleet_.takeActions();
-        if (sessionActions.empty() && fleetActions.empty())
+        const bool isAnyDecided = admit(now);
+        if (sessionActions.empty() && fleetActions.empty() && !isAnyDecided)
             break;
         for (auto &action : sessionActions)
             perform(action);
@@ -139,6 +135,9 @@
                            caller->second.connection->send(
                                Adapter::encodeReady(Sessions::TransactionState::None, {}));
                    },
+                   [&](const Sessions::RequestAdmission &request) {
+                       rates_.take(request.team, request.session, now);
+                   },
                    [&](const Sessions::AnswerSession &answer) {
                        const auto caller = callers_.find(answer.session);
                        if (caller != callers_.end())
@@ -210,6 +209,7 @@
                                                right.validUntil},
                                               now);
                    },
+                   [&](const Fleet::MembersChanged &change) { membersChanged(change, now); },
                    [&](const Fleet::Event &event) {
                        Observe::log(Severity::Info, event.name, toFields(event.fields));
                    },
@@ -264,18 +264,34 @@
     Observe::log(Severity::Info, line.name, toFields(line.fields));
 }
 
-void Node::exchangeShares(Core::Instant now)
+bool Node::admit(Core::Instant now)
+{
+    const auto decisions = rates_.takeDecisions();
+    for (const auto &decision : decisions) {
+        if (decision.isGranted)
+            sessions_.admitted(decision.ticket, now);
+        else
+            sessions_.refused(decision.ticket,
+                              {decision.retryAfter, decision.ratePerSecond, decision.decidedBy},
+                              now);
+    }
+    const auto asks = rates_.takeAsks();
+    for (const auto &ask : asks) {
+        metrics_.add("chervilpin_rate_asks_total", "");
+        peers_->send(ask.address, FleetWire::encode(ask.ask));
+    }
+    return !decisions.empty() || !asks.empty();
+}
+
+void Node::exchangeState(Core::Instant now)
 {
     if (now < nextExchange_)
         return;
     nextExchange_ = now + exchangeInterval;
     Observe::flushLog();
-    auto demand = sessions_.demand(now);
-    fleet_.setDemand(demand);
     fleet_.setConfigurationVersion(configurationVersion_);
     sessions_.setMemberCount(fleet_.memberCount(), now);
-    sessions_.updateShares([&](const Core::TeamName &team) { return fleet_.shareOf(team, now); },
-                           now);
+    rates_.setContact(fleet_.isInContact(now) ? Rates::Contact::Good : Rates::Contact::Poor);
     if (configurationLink_ && fleet_.newestConfigurationOfPeers() > configurationVersion_)
         configurationLink_->refresh();
 }
@@ -283,7 +299,7 @@
 void Node::armTimer()
 {
     Core::Instant due = std::min(sessions_.nextDeadline(), fleet_.nextDeadline());
-    due = std::min(due, nextExchange_);
+    due = std::min({due, nextExchange_, rates_.nextDeadline()});
     const Core::Instant now = Core::SteadyClock::now();
     due = std::max(due, now + Core::Duration(1));
     if (isTimerArmed_ && armedFor_ <= due && armedFor_ > now)
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -6,6 +6,7 @@
 #include <Http/Client.h>
 #include <Http/Server.h>
 #include <Observe/Metrics.h>
+#include <Rates/RateDesk.h>
 #include <Services/SessionProxy/LineConnection.h>
 #include <Services/SessionProxy/LinePace.h>
 #include <Services/SessionProxy/PeerSocket.h>
@@ -84,6 +85,8 @@
     [[nodiscard]] std::optional<Sessions::DatabaseEntry>
     readEntry(const Adapter::StoreObject &object);
     void applyDirectory(Core::Instant now);
+    void peerDatagram(std::string_view);
+    void membersChanged(const Fleet::MembersChanged &, Core::Instant now);
     void fleetChanged(const std::vector<Adapter::StoreObject> &, Core::Instant askedAt,
                       bool isComplete);
     void answerReady(const Http::Request &, const Http::Responder &) const;
@@ -97,7 +100,8 @@
     void performOrder(const Fleet::OrderPromotion &);
     void count(const Sessions::CountOutcome &);
     void write(const Sessions::LogLine &);
-    void exchangeShares(Core::Instant now);
+    [[nodiscard]] bool admit(Core::Instant now);
+    void exchangeState(Core::Instant now);
     void armTimer();
     void checkStopped(Core::Instant now);
 
@@ -106,6 +110,7 @@
     std::function<void()> stopped_;
     Sessions::SessionEngine sessions_;
     Fleet::FleetEngine fleet_;
+    Rates::RateDesk rates_;
     Observe::Metrics metrics_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -2,6 +2,7 @@
 
 #include <Core/Overloaded.h>
 #include <Core/SteadyClock.h>
+#include <FleetWire/PeerMessageCodec.h>
 #include <Services/SessionProxy/NodeTiming.h>
 
 #include <chrono>
@@ -264,8 +265,9 @@
         if (table->version <= configurationVersion_)
             continue;
         configurationVersion_ = table->version;
-        sessions_.configure(std::make_shared<const Sessions::RoutingTable>(std::move(*table)),
-                            Core::SteadyClock::now());
+        const Core::Instant now = Core::SteadyClock::now();
+        rates_.setLimits(table->teams, now);
+        sessions_.configure(std::make_shared<const Sessions::RoutingTable>(std::move(*table)), now);
         nextExchange_ = Core::Instant();
     }
 }
@@ -315,6 +317,34 @@
     fleet_.directoryChanged(entries, now);
 }
 
+void Node::peerDatagram(std::string_view text)
+{
+    const auto message = FleetWire::decode(text);
+    if (!message) {
+        metrics_.add("chervilpin_peer_messages_unreadable_total", "");
+        return;
+    }
+    const Core::Instant now = Core::SteadyClock::now();
+    std::visit(Core::Overloaded{
+                   [&](const Fleet::Heartbeat &heartbeat) { fleet_.heartbeat(heartbeat, now); },
+                   [&](const Rates::Ask &ask) {
+                       peers_->send(ask.replyTo, FleetWire::encode(rates_.asked(ask, now)));
+                   },
+                   [&](const Rates::Grant &grant) { rates_.granted(grant, now); },
+               },
+               *message);
+    pump();
+}
+
+void Node::membersChanged(const Fleet::MembersChanged &change, Core::Instant now)
+{
+    std::vector<Rates::Member> members;
+    members.reserve(change.members.size());
+    for (const auto &member : change.members)
+        members.push_back({member.node, member.dataCentre, member.address});
+    rates_.setMembers(std::move(members), change.known, now);
+}
+
 void Node::fleetChanged(const std::vector<Adapter::StoreObject> &objects, Core::Instant askedAt,
                         bool isComplete)
 {
--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -55,7 +55,7 @@
     if (page) {
         noteReachable(true, {});
         takePage(std::move(*page), askedAt, asked);
-        call();
+        callAfter(feed_.pause(askedAt, Core::SteadyClock::now()));
         return;
     }
     pages_.clear();
@@ -66,7 +66,16 @@
     }
     feed_.failed();
     noteReachable(false, page.error().message);
-    timer_.expires_after(std::chrono::milliseconds(feed_.delay().milliseconds()));
+    callAfter(feed_.delay());
+}
+
+void StoreLink::callAfter(Core::Duration delay)
+{
+    if (delay == Core::Duration()) {
+        call();
+        return;
+    }
+    timer_.expires_after(std::chrono::milliseconds(delay.milliseconds()));
     timer_.async_wait([this, generation = generation_](boost::system::error_code error) {
         if (!error && generation == generation_)
             call();
--- a/Services/SessionProxy/StoreLink.h
+++ b/Services/SessionProxy/StoreLink.h
@@ -35,6 +35,7 @@
 
 private:
     void call();
+    void callAfter(Core::Duration);
     void answered(const Core::ErrorOr<Http::Response> &, Core::Instant askedAt,
                   const Fleet::StoreFeed::Call &);
     void takePage(Adapter::StorePage, Core::Instant askedAt, const Fleet::StoreFeed::Call &);
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -123,8 +123,9 @@
     /// Checked at each order: proxies that could still use another database.
     std::vector<std::string> broken;
     bool areOrdersAnswered = true;
-    unsigned writes = 0;                ///< Calls of the store, answered or not.
-    Core::DatabaseName primary{"db-1"}; ///< As the databases see it.
+    std::map<std::string, unsigned> heartbeats; ///< Sent, by the sender.
+    unsigned writes = 0;                        ///< Calls of the store, answered or not.
+    Core::DatabaseName primary{"db-1"};         ///< As the databases see it.
 
 private:
     void list(Proxy &proxy)
@@ -206,6 +207,7 @@
 
     void deliver(const std::string &from, const SendHeartbeat &send)
     {
+        ++heartbeats[from];
         const auto to = proxies.find(send.address);
         if (to == proxies.end() || cutFromPeers.contains(from)
             || cutFromPeers.contains(send.address) || paused.contains(send.address))
--- a/Tests/Fleet/TestStoreFeed.cpp
+++ b/Tests/Fleet/TestStoreFeed.cpp
@@ -63,3 +63,12 @@
     CHECK(feed.confirmedAt(asked, true, asked + 2_s) == asked);
     CHECK(feed.confirmedAt(asked, false, asked + 1_s) == asked);
 }
+
+/// The start of kcn-jakarta-grown: 68 proxies register within a second.
+TEST(StoreFeed, ChangesInQuickSuccessionAreTakenTogether)
+{
+    feed.listed("n", false, 5);
+    const Core::Instant asked(10'000);
+    CHECK(feed.pause(asked, asked + 10_ms) == 190_ms);
+    CHECK(feed.pause(asked, asked + 300_ms) == 0_ms);
+}
--- /dev/null
+++ b/Tests/FleetWire/TestPeerMessageCodec.cpp
@@ -0,0 +1,77 @@
+#include <FleetWire/PeerMessageCodec.h>
+
+#include <Tests/Fakes/LogMarks.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Chervilpin;
+
+TEST_GROUP(PeerMessageCodec){};
+
+TEST(PeerMessageCodec, AHeartbeatIsReadAsItWasWritten)
+{
+    Fleet::Heartbeat sent;
+    sent.node = Core::NodeName("n");
+    sent.boot = 5;
+    sent.sentAt = Core::Instant(1234);
+    sent.echoBoot = 6;
+    sent.echoSentAt = Core::Instant(77);
+    sent.echoHeld = Core::Duration(8);
+    sent.confirmedAge = Core::Duration(9);
+    sent.isReceiverMember = true;
+    Fleet::PrimaryReport report;
+    report.group = Core::GroupName("g");
+    report.revision = 3;
+    report.phase = Fleet::PrimaryPhase::Ordered;
+    report.candidate = Core::DatabaseName("c");
+    report.adopted = 2;
+    report.health = Fleet::Health::Suspect;
+    report.mark = {4, 5};
+    sent.primaries.push_back(report);
+    sent.recordsSum = 0xfedcba9876543210;
+    sent.wantsDetails = true;
+    const auto decoded = FleetWire::decode(FleetWire::encode(sent));
+    CHECK(decoded.has_value());
+    const auto *read = std::get_if<Fleet::Heartbeat>(&*decoded);
+    CHECK(read != nullptr);
+    CHECK(read->recordsSum == sent.recordsSum && read->wantsDetails && !read->wantsReply);
+    CHECK(read->sentAt == sent.sentAt && read->echoHeld == sent.echoHeld);
+    CHECK(read->confirmedAge == sent.confirmedAge && read->isReceiverMember);
+    const auto &primary = read->primaries.front();
+    CHECK(primary.phase == Fleet::PrimaryPhase::Ordered && primary.adopted == 2);
+    CHECK(primary.candidate == report.candidate);
+    CHECK(primary.health == Fleet::Health::Suspect && primary.mark == Fakes::logMark(4, 5));
+}
+
+TEST(PeerMessageCodec, AsksAndGrantsAreReadAsTheyWereWritten)
+{
+    Rates::Ask ask{7, "10.0.0.1:9", Core::TeamName("t"), Rates::Role::StandIn, 3, 2};
+    const auto decodedAsk = FleetWire::decode(FleetWire::encode(ask));
+    CHECK(decodedAsk.has_value());
+    const auto *readAsk = std::get_if<Rates::Ask>(&*decodedAsk);
+    CHECK(readAsk != nullptr);
+    CHECK(readAsk->id == 7 && readAsk->replyTo == ask.replyTo && readAsk->team == ask.team);
+    CHECK(readAsk->role == Rates::Role::StandIn && readAsk->needed == 3 && readAsk->ahead == 2);
+
+    Rates::Grant grant{7, Core::TeamName("t"), Core::NodeName("n"), false, 4, Core::Duration(250)};
+    const auto decodedGrant = FleetWire::decode(FleetWire::encode(grant));
+    CHECK(decodedGrant.has_value());
+    const auto *readGrant = std::get_if<Rates::Grant>(&*decodedGrant);
+    CHECK(readGrant != nullptr);
+    CHECK(readGrant->id == 7 && readGrant->team == grant.team && readGrant->from == grant.from);
+    CHECK(!readGrant->isOwner && readGrant->operations == 4);
+    CHECK(readGrant->retryAfter == grant.retryAfter);
+}
+
+TEST(PeerMessageCodec, AnAskWithoutATeamOrAnAddressIsRefused)
+{
+    CHECK(!FleetWire::decode(FleetWire::encode(Rates::Ask{1, "10.0.0.1:9", {}})).has_value());
+    CHECK(
+        !FleetWire::decode(FleetWire::encode(Rates::Ask{1, "", Core::TeamName("t")})).has_value());
+}
+
+TEST(PeerMessageCodec, OtherDatagramsAreRefused)
+{
+    CHECK(!FleetWire::decode("").has_value());
+    CHECK(!FleetWire::decode("\xff\xff\xff garbage").has_value());
+}
--- /dev/null
+++ b/Tests/Rates/TestRateDesk.cpp
@@ -0,0 +1,160 @@
+#include <Rates/RateDesk.h>
+
+#include <Tests/Rates/DeskFixture.h>
+
+#include <CppUTest/TestHarness.h>
+#include <random>
+
+using namespace Chervilpin;
+using namespace Chervilpin::Rates;
+using namespace Chervilpin::Rates::Testing;
+using namespace Chervilpin::Core::Literals;
+
+namespace {
+
+/// Plays callers at random proxies, so many each second, for so long.
+void play(DeskFixture &fleet, double perSecond, Core::Duration span, std::mt19937 &random)
+{
+    std::bernoulli_distribution comes(perSecond / 1'000);
+    std::uniform_int_distribution<std::size_t> at(0, fleet.members.size() - 1);
+    for (std::int64_t i = 0; i < span.milliseconds(); ++i) {
+        const std::string &name = fleet.members[at(random)].address;
+        if (comes(random) && !fleet.dead.contains(name))
+            fleet.want(name);
+        fleet.pass(1_ms);
+    }
+}
+
+/// What the users accept over a window of 5 s.
+double accepted(Sessions::TeamLimits limits)
+{
+    constexpr double window = 5;
+    return (limits.ratePerSecond * window + limits.burst) * 1.1 + 20;
+}
+
+} // namespace
+
+TEST_GROUP(RateDesk)
+{
+    std::mt19937 random{7};
+};
+
+/// The quiet day of kcn-jakarta-grown: a team of 6 operations a second, spread over 68 proxies. A
+/// fixed part of its rate for each proxy refused nearly all of them.
+TEST(RateDesk, ASmallTeamIsServedWhereverItsCallersCome)
+{
+    DeskFixture fleet(68, {6, 6});
+    play(fleet, 3.7, 30_s, random);
+    CHECK(fleet.granted.size() > 80);
+    CHECK(fleet.refused.size() * 20 < fleet.granted.size());
+}
+
+TEST(RateDesk, AFleetNeverStartsMoreThanTheLimit)
+{
+    for (const unsigned count : {7U, 68U}) {
+        const Sessions::TeamLimits limits{30, 30};
+        DeskFixture fleet(count, limits);
+        // The load of a team that suddenly asks for many times its limit everywhere.
+        play(fleet, 300, 5_s, random);
+        CHECK(static_cast<double>(fleet.granted.size()) <= accepted(limits) - 20);
+        CHECK(fleet.granted.size() >= 150);
+    }
+}
+
+TEST(RateDesk, ARefusalComesAtOnceAndSaysWhenToComeBack)
+{
+    DeskFixture fleet(68, {10, 2});
+    for (int i = 0; i < 5; ++i)
+        fleet.want("n3");
+    fleet.pass(5_ms);
+    LONGS_EQUAL(5, fleet.granted.size() + fleet.refused.size());
+    CHECK(!fleet.refused.empty());
+    CHECK(fleet.refused.front().retryAfter > 0_ms);
+    CHECK(fleet.refused.back().retryAfter > fleet.refused.front().retryAfter);
+    CHECK(fleet.refused.front().decidedBy == fleet.owner());
+}
+
+/// A VM that loses power: nothing answers there until the fleet has retired it.
+TEST(RateDesk, WithoutTheOwnerTheStandInsKeepWithinWhatIsAccepted)
+{
+    for (const unsigned count : {7U, 68U}) {
+        const Sessions::TeamLimits limits{30, 30};
+        DeskFixture fleet(count, limits);
+        fleet.dead.insert(fleet.owner());
+        play(fleet, 300, 5_s, random);
+        CHECK(static_cast<double>(fleet.granted.size()) <= accepted(limits));
+        CHECK(fleet.granted.size() > 10);
+    }
+}
+
+TEST(RateDesk, InASmallFleetMostAreServedWithoutTheOwner)
+{
+    DeskFixture fleet(7, {60, 60});
+    fleet.dead.insert(fleet.owner());
+    play(fleet, 37, 10_s, random);
+    CHECK(fleet.granted.size() > 2 * fleet.refused.size());
+}
+
+TEST(RateDesk, NobodyWaitsLongForAnOwnerThatIsSilent)
+{
+    DeskFixture fleet(68, {10, 10});
+    for (const auto &member : fleet.members)
+        fleet.dead.insert(member.address);
+    fleet.want("n3");
+    fleet.pass(90_ms);
+    LONGS_EQUAL(1, fleet.granted.size() + fleet.refused.size());
+}
+
+TEST(RateDesk, ANewOwnerDoesNotGrantTheBurstAgain)
+{
+    const Sessions::TeamLimits limits{20, 60};
+    DeskFixture fleet(68, limits);
+    play(fleet, 300, 2_s, random);
+    const std::string gone = fleet.owner();
+    std::erase_if(fleet.members, [&](const auto &member) { return member.address == gone; });
+    fleet.tellMembers();
+    play(fleet, 300, 3_s, random);
+    CHECK(static_cast<double>(fleet.granted.size()) <= accepted(limits) - 20);
+}
+
+TEST(RateDesk, AnOwnerThatSeesTooLittleOfTheFleetGrantsNothing)
+{
+    DeskFixture fleet(68, {10, 10});
+    RateDesk &owner = *fleet.desks.at(fleet.owner());
+    const Ask ask{1, "n3", DeskFixture::team, Role::Owner, 1, 0};
+    LONGS_EQUAL(1, owner.asked(ask, fleet.now).operations);
+    owner.setContact(Contact::Poor);
+    const Grant grant = owner.asked(ask, fleet.now);
+    CHECK(!grant.isOwner);
+    LONGS_EQUAL(0, grant.operations);
+}
+
+TEST(RateDesk, ABusyTeamAsksForSeveralAtATime)
+{
+    DeskFixture fleet(2, {2'000, 2'000});
+    const std::string other = fleet.owner() == "n1" ? "n2" : "n1";
+    fleet.datagrams = 0;
+    for (int i = 0; i < 1'500; ++i) {
+        fleet.want(other);
+        fleet.pass(1_ms);
+    }
+    LONGS_EQUAL(1'500, fleet.granted.size());
+    CHECK(fleet.datagrams < 300);
+}
+
+TEST(RateDesk, AGrantForAnotherAskIsPassedOver)
+{
+    DeskFixture fleet(68, {10, 10});
+    RateDesk desk({Core::NodeName("x"), Core::DataCentreName("dc-1"), "x"});
+    desk.setLimits({{DeskFixture::team, {10, 10}}}, fleet.now);
+    desk.setMembers(fleet.members, 69, fleet.now);
+    desk.take(DeskFixture::team, 1, fleet.now);
+    const auto asks = desk.takeAsks();
+    LONGS_EQUAL(1, asks.size());
+    Grant grant{asks.front().ask.id + 1, DeskFixture::team, {}, true, 1, {}};
+    desk.granted(grant, fleet.now);
+    LONGS_EQUAL(0, desk.takeDecisions().size());
+    grant.id = asks.front().ask.id;
+    desk.granted(grant, fleet.now);
+    LONGS_EQUAL(1, desk.takeDecisions().size());
+}
--- a/Tests/Sessions/TestTeamRate.cpp
+++ b/Tests/Rates/TestTeamRate.cpp
@@ -1,9 +1,10 @@
-#include <Sessions/TeamRate.h>
+#include <Rates/TeamRate.h>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace Chervilpin;
-using namespace Chervilpin::Sessions;
+using namespace Chervilpin::Rates;
+using Chervilpin::Sessions::TeamLimits;
 using namespace Chervilpin::Core::Literals;
 
 namespace {
--- a/Tests/Sessions/EngineFixture.h
+++ b/Tests/Sessions/EngineFixture.h
@@ -26,7 +26,7 @@
     {
         engine.configure(table(1), now);
         engine.directoryChanged(entries(), now);
-        engine.updateShares([](const auto &) { return 1.0; }, now);
+
         grant(1, primary, true);
         (void)take();
     }
@@ -89,7 +89,8 @@
                          now);
     }
 
-    /// Takes the actions, and opens the connections that were asked for at once.
+    /// Takes the actions, opens the connections that were asked for at once, and admits operations
+    /// unless the test does so itself.
     std::vector<Action> take()
     {
         std::vector<Action> all;
@@ -98,6 +99,9 @@
             if (actions.empty())
                 return all;
             for (auto &action : actions) {
+                const auto *request = std::get_if<RequestAdmission>(&action);
+                if (request && isAdmitting)
+                    engine.admitted(request->session, now);
                 if (const auto *opened = std::get_if<OpenConnection>(&action)) {
                     databaseOf[opened->connection] = opened->database;
                     if (isOpening)
@@ -162,6 +166,7 @@
     std::map<ConnectionId, Core::DatabaseName> databaseOf;
     std::map<Core::DatabaseName, Core::LogMark> marks;
     bool isOpening = true;
+    bool isAdmitting = true;
 
 private:
     static void addRoute(RoutingTable &table, const char *name, Consistency consistency)
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -8,6 +8,7 @@
 
 using namespace Chervilpin;
 using namespace Chervilpin::Sessions;
+using namespace Chervilpin::Core::Literals;
 using Testing::EngineFixture;
 
 namespace {
@@ -406,3 +407,40 @@
     }
     CHECK(onReplicas >= 20);
 }
+
+TEST(SessionEngine, AnOperationWaitsForItsTeamsRateAndARefusalIsFinal)
+{
+    fixture.isAdmitting = false;
+    const SessionId session = fixture.open("latest");
+    fixture.say(session, StatementKind::Begin);
+    fixture.say(session, StatementKind::Read, "1");
+    const auto asked = EngineFixture::only<RequestAdmission>(fixture.take());
+    LONGS_EQUAL(1, asked.size());
+    CHECK(asked.front().team == Core::TeamName("team"));
+    fixture.engine.refused(session, {250_ms, 10, "n1"}, fixture.now);
+    const auto actions = fixture.take();
+    const auto answers = EngineFixture::only<AnswerSession>(actions);
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers.front().failure == Failure::Busy);
+    STRCMP_CONTAINS("250 ms", answers.front().text.c_str());
+    // What the caller sent next starts an operation of its own.
+    LONGS_EQUAL(1, EngineFixture::only<RequestAdmission>(actions).size());
+    fixture.engine.admitted(session, fixture.now);
+    LONGS_EQUAL(1, fixture.sent().size());
+    // A second answer to the same question changes nothing.
+    fixture.engine.admitted(session, fixture.now);
+    LONGS_EQUAL(0, fixture.sent().size());
+}
+
+TEST(SessionEngine, AStopWaitsForAnOperationAtAdmission)
+{
+    fixture.isAdmitting = false;
+    const SessionId session = fixture.open("latest");
+    fixture.say(session, StatementKind::Read, "1");
+    fixture.engine.shutDown(fixture.now + 3_s, fixture.now);
+    LONGS_EQUAL(0, EngineFixture::only<EndSession>(fixture.take()).size());
+    fixture.engine.refused(session, {250_ms, 10, "n1"}, fixture.now);
+    const auto actions = fixture.take();
+    LONGS_EQUAL(1, EngineFixture::only<AnswerSession>(actions).size());
+    LONGS_EQUAL(1, EngineFixture::only<EndSession>(actions).size());
+}
