Changes in the store that follow each other are taken together, the more the longer they go on

Cause: with 68 proxies, each made 36 of its 52 calls in the 5 s of the start, when members and databases register one after the other.

--- a/Libraries/Fleet/StoreFeed.cpp
+++ b/Libraries/Fleet/StoreFeed.cpp
@@ -14,14 +14,18 @@
 constexpr Core::Duration firstDelay{150};
 /// Bounds the calls that an unreachable store is charged with, and how late its return is noticed.
 constexpr Core::Duration longestDelay{600};
-/// Between two watches. When all proxies of a large fleet register at once, each would otherwise
-/// make a call for each of them. Well within the 250 ms of the users' tightest bound.
-constexpr Core::Duration watchInterval{200};
+/// Between two watches, the second of which follows a change. When all proxies of a large fleet
+/// register at once, each would otherwise make a call for each of them.
+constexpr Core::Duration firstInterval{200};
+/// While changes go on, the interval doubles up to this; a third of the time in which the users
+/// expect a configuration to be in force.
+constexpr Core::Duration longestInterval{1'000};
 
 } // namespace
 
 StoreFeed::StoreFeed(Core::Duration wait)
     : wait_(wait)
+    , interval_(firstInterval)
 { }
 
 StoreFeed::Call StoreFeed::next() const
@@ -33,7 +37,7 @@
 
 Core::Duration StoreFeed::pause(Core::Instant askedAt, Core::Instant now) const
 {
-    const Core::Instant earliest = askedAt + watchInterval;
+    const Core::Instant earliest = askedAt + interval_;
     return isListing_ || now >= earliest ? Core::Duration() : earliest - now;
 }
 
@@ -57,9 +61,13 @@
     return Position::Complete;
 }
 
-void StoreFeed::changed(Revision storeRevision)
+void StoreFeed::changed(Revision storeRevision, bool hasChanges)
 {
     delay_ = {};
+    if (!hasChanges)
+        interval_ = firstInterval;
+    else
+        interval_ = std::min(interval_ * 2, longestInterval);
     since_ = storeRevision;
 }
 
--- a/Libraries/Fleet/StoreFeed.h
+++ b/Libraries/Fleet/StoreFeed.h
@@ -34,7 +34,8 @@
     /// How long to wait before it, after a failure.
     [[nodiscard]] Core::Duration delay() const { return delay_; }
     /// How long to wait before it, if the last call was made at \a askedAt. Changes that come in
-    /// quick succession are taken together; a first change after a quiet time is told at once.
+    /// quick succession are taken together, the more the longer they go on; a first change after a
+    /// quiet time is told at once.
     [[nodiscard]] Core::Duration pause(Core::Instant askedAt, Core::Instant now) const;
     /// How long its answer may take.
     [[nodiscard]] Core::Duration timeout() const;
@@ -46,7 +47,8 @@
 
     /// A page of a list came.
     Position listed(std::string lastName, bool hasMore, Revision storeRevision);
-    void changed(Revision storeRevision);
+    /// A watch was answered.
+    void changed(Revision storeRevision, bool hasChanges);
 
     /// The moment as of which a watch's answer is known to be true. An answer with changes is as of
     /// its question. One without was held back for the whole wait, and is as of the wait's end.
@@ -59,6 +61,7 @@
 private:
     Core::Duration wait_;
     Core::Duration delay_;
+    Core::Duration interval_; ///< Between two watches.
     bool isListing_ = true;
     std::string after_;
     Revision since_ = 0;
--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -87,7 +87,7 @@
 {
     const auto *list = std::get_if<StoreFeed::List>(&asked);
     if (!list) {
-        feed_.changed(page.revision);
+        feed_.changed(page.revision, !page.objects.empty());
         const Core::Instant confirmedAt =
             feed_.confirmedAt(askedAt, !page.objects.empty(), Core::SteadyClock::now());
         handlers_.changed(std::move(page.objects), confirmedAt);
--- a/Tests/Fleet/TestStoreFeed.cpp
+++ b/Tests/Fleet/TestStoreFeed.cpp
@@ -23,7 +23,7 @@
     STRCMP_EQUAL("m", std::get<StoreFeed::List>(feed.next()).after.c_str());
     CHECK(feed.listed("z", false, 14) == StoreFeed::Position::Complete);
     LONGS_EQUAL(10, std::get<StoreFeed::Watch>(feed.next()).since);
-    feed.changed(20);
+    feed.changed(20, true);
     LONGS_EQUAL(20, std::get<StoreFeed::Watch>(feed.next()).since);
 }
 
@@ -71,4 +71,9 @@
     const Core::Instant asked(10'000);
     CHECK(feed.pause(asked, asked + 10_ms) == 190_ms);
     CHECK(feed.pause(asked, asked + 300_ms) == 0_ms);
+    for (int i = 0; i < 5; ++i)
+        feed.changed(6, true);
+    CHECK(feed.pause(asked, asked) == 1_s);
+    feed.changed(6, false);
+    CHECK(feed.pause(asked, asked) == 200_ms);
 }
