A database may be asked for its status before a configuration is known

A proxy that leads again at once asks databases for their status, which read the limit of connections from a configuration that wasn't there.

Before: ADatabaseIsAskedForItsStatusBeforeAConfigurationIsKnown crashes. After: 39 tests of Sessions pass.

--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -150,6 +150,9 @@
 
 std::size_t SessionEngine::connectionShare(const Database &database) const
 {
+    // A status may be asked for before the configuration is known.
+    if (!table_)
+        return 1;
     const auto limits = table_->groups.find(database.entry.group);
     if (limits == table_->groups.end())
         return 1;
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -444,3 +444,18 @@
     LONGS_EQUAL(1, EngineFixture::only<AnswerSession>(actions).size());
     LONGS_EQUAL(1, EngineFixture::only<EndSession>(actions).size());
 }
+
+/// The day trouble-3 of mcr-registry-grown: all processes are killed at once, and one of them leads
+/// a change of primary again before it has read the configuration.
+TEST(SessionEngine, ADatabaseIsAskedForItsStatusBeforeAConfigurationIsKnown)
+{
+    SessionEngine engine(EngineFixture::dataCentre, fixture.now);
+    engine.directoryChanged(EngineFixture::entries(), fixture.now);
+    engine.askStatus(EngineFixture::primary, fixture.now);
+    const auto opened = EngineFixture::only<OpenConnection>(engine.takeActions());
+    LONGS_EQUAL(1, opened.size());
+    engine.connectionOpened(opened.front().connection, Core::LogMark(), fixture.now);
+    const auto sent = EngineFixture::only<SendStatement>(engine.takeActions());
+    LONGS_EQUAL(1, sent.size());
+    CHECK(sent.front().statement.kind == StatementKind::Status);
+}
