A team goes on at its usual rate where its owner can't be reached

Ruled out: real excess (nothing refused at 3-7 s), slow VMs (refusals in all data centres alike).

Of a data centre's four next by rank the first that answers is the stand-in. After two unanswered asks a proxy decides alone.

Before: ACutLeavesMostOfASteadyTeamServed fails (stand-ins gave only what is accepted beyond a limit). After: 23 tests of Rates pass.

--- a/Libraries/FleetWire/PeerMessageCodec.cpp
+++ b/Libraries/FleetWire/PeerMessageCodec.cpp
@@ -1,5 +1,6 @@
 #include <FleetWire/PeerMessageCodec.h>
 
+#include <cmath>
 #include <fleet.pb.h>
 
 namespace Chervilpin::FleetWire {
@@ -8,6 +9,14 @@
 
 namespace wire = chervilpin::fleet;
 
+/// Rates are told in thousandths of an operation per second.
+constexpr double rateScale = 1'000.0;
+
+std::uint32_t toThousandths(double perSecond)
+{
+    return static_cast<std::uint32_t>(std::lround(perSecond * rateScale));
+}
+
 wire::Primary_Health toWire(Fleet::Health health)
 {
     switch (health) {
@@ -98,6 +107,7 @@
     ask.role = message.is_to_stand_in() ? Rates::Role::StandIn : Rates::Role::Owner;
     ask.needed = message.needed();
     ask.ahead = message.ahead();
+    ask.usualPerSecond = message.usual_thousandths() / rateScale;
     return ask;
 }
 
@@ -110,6 +120,7 @@
     grant.isOwner = !message.is_refused();
     grant.operations = message.operations();
     grant.retryAfter = Core::Duration(message.retry_after_ms());
+    grant.usualPerSecond = message.usual_thousandths() / rateScale;
     return grant;
 }
 
@@ -149,6 +160,7 @@
     message.set_is_to_stand_in(ask.role == Rates::Role::StandIn);
     message.set_needed(ask.needed);
     message.set_ahead(ask.ahead);
+    message.set_usual_thousandths(toThousandths(ask.usualPerSecond));
     return envelope.SerializeAsString();
 }
 
@@ -162,6 +174,7 @@
     message.set_is_refused(!grant.isOwner);
     message.set_operations(grant.operations);
     message.set_retry_after_ms(static_cast<std::uint32_t>(grant.retryAfter.milliseconds()));
+    message.set_usual_thousandths(toThousandths(grant.usualPerSecond));
     return envelope.SerializeAsString();
 }
 
--- a/Libraries/Rates/Messages.h
+++ b/Libraries/Rates/Messages.h
@@ -15,7 +15,7 @@
 /// Which of a team's buckets is asked.
 enum class Role {
     Owner,
-    StandIn, ///< Of the asker's data centre, while the owner doesn't answer there.
+    StandIn, ///< Of the asker's data centre, or the asker itself, while the owner is silent there.
 };
 
 /// From a proxy to the owner of a team's rate.
@@ -27,6 +27,8 @@
     Role role = Role::Owner;
     std::uint32_t needed = 0; ///< Operations that wait.
     std::uint32_t ahead = 0;  ///< Operations that are expected soon.
+    /// For a stand-in: what the owner granted in the data centre before, operations per second.
+    double usualPerSecond = 0;
 };
 
 /// The answer to an ask.
@@ -38,6 +40,8 @@
     bool isOwner = true;          ///< False: the answering proxy doesn't have this role.
     std::uint32_t operations = 0; ///< That may be started.
     Core::Duration retryAfter;    ///< Until there is one more, if fewer than needed were granted.
+    /// From the owner: what it grants in the asker's data centre, operations per second.
+    double usualPerSecond = 0;
 };
 
 } // namespace Chervilpin::Rates
--- a/Libraries/Rates/OwnerTable.cpp
+++ b/Libraries/Rates/OwnerTable.cpp
@@ -3,10 +3,16 @@
 #include <Core/Rank.h>
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace Chervilpin::Rates {
 
+namespace {
+/// A cut may leave half of a data centre's proxies on either side, and each side is to find one.
+constexpr std::size_t standInsKept = 4;
+} // namespace
+
 OwnerTable::OwnerTable(Core::DataCentreName dataCentre)
     : dataCentre_(std::move(dataCentre))
 { }
@@ -36,11 +42,14 @@
         return owners;
     owners.owner = *owner;
     for (const auto &member : members_) {
-        if (member.dataCentre != dataCentre_ || member.node == owner->node)
-            continue;
-        if (!owners.standIn || rank(member) > rank(*owners.standIn))
-            owners.standIn = member;
+        if (member.dataCentre == dataCentre_ && member.node != owner->node)
+            owners.standIns.push_back(member);
     }
+    const std::size_t count = std::min(owners.standIns.size(), standInsKept);
+    std::ranges::partial_sort(owners.standIns,
+                              owners.standIns.begin() + static_cast<std::ptrdiff_t>(count),
+                              std::greater<>(), rank);
+    owners.standIns.resize(count);
     return owners;
 }
 
--- a/Libraries/Rates/OwnerTable.h
+++ b/Libraries/Rates/OwnerTable.h
@@ -23,7 +23,7 @@
 struct Owners
 {
     std::optional<Member> owner;
-    std::optional<Member> standIn; ///< The next by rank in the asker's data centre.
+    std::vector<Member> standIns; ///< The next by rank in the asker's data centre, a few.
 };
 
 /// Finds the owners of teams by rendezvous hashing, so that a change of the members moves only the
--- a/Libraries/Rates/RateDesk.cpp
+++ b/Libraries/Rates/RateDesk.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace Chervilpin::Rates {
 
@@ -18,8 +19,12 @@
 /// Beyond a team's limit the users accept a tenth, and 20 operations in 5 s.
 constexpr double acceptedExcess = 0.1;
 constexpr double acceptedPerSecond = 4.0;
-/// All stand-ins together use up this much of what is accepted.
-constexpr double standInPart = 0.8;
+/// All stand-ins together use up this much of what is accepted in any case. The rest is for what
+/// they start before they notice a surge.
+constexpr double standInPart = 0.4;
+
+/// A caller waits for so many answers at the most; then this proxy decides alone.
+constexpr unsigned mostUnanswered = 2;
 
 double seconds(Core::Duration span)
 {
@@ -56,11 +61,11 @@
     account.evenPart.setShare(even / static_cast<double>(proxies_), now);
     account.evenPart.setLimits(account.limits, now);
     if (const auto owned = owned_.find(team); owned != owned_.end()) {
-        owned->second.setShare(1 - even, now);
-        owned->second.setLimits(account.limits, now);
+        owned->second.bucket.setShare(1 - even, now);
+        owned->second.bucket.setLimits(account.limits, now);
     }
-    if (const auto standIn = standIns_.find(team); standIn != standIns_.end())
-        standIn->second.setLimits(standInLimits(account.limits), now);
+    if (pools_.contains(team) && isDesignatedStandIn(team))
+        pools_.at(team).setBase(standInLimits(account.limits), now);
 }
 
 void RateDesk::setLimits(const std::map<Core::TeamName, Sessions::TeamLimits> &limits,
@@ -80,7 +85,7 @@
     };
     std::erase_if(accounts_, isGone);
     std::erase_if(owned_, isGone);
-    std::erase_if(standIns_, isGone);
+    std::erase_if(pools_, isGone);
     std::erase_if(asking_, [&](const auto &team) { return !limits.contains(team); });
 }
 
@@ -106,24 +111,41 @@
     return contact_ == Contact::Good && owner && owner->node == self_.node;
 }
 
-TeamRate &RateDesk::bucketOf(const Core::TeamName &team, const Account &account, Role role,
-                             Core::Instant now)
+RateDesk::Owned &RateDesk::ownedOf(const Core::TeamName &team, const Account &account,
+                                   Core::Instant now)
 {
-    Buckets &buckets = role == Role::Owner ? owned_ : standIns_;
-    const auto found = buckets.find(team);
-    if (found != buckets.end())
+    const auto found = owned_.find(team);
+    if (found != owned_.end())
         return found->second;
-    TeamRate &bucket = buckets[team];
-    if (role == Role::Owner) {
-        bucket.setShare(1 - evenFraction(account.limits), now);
-        bucket.setLimits(account.limits, now);
-    } else {
-        bucket.setShare(1, now);
-        bucket.setLimits(standInLimits(account.limits), now);
-    }
+    Owned &owned = owned_[team];
+    owned.bucket.setShare(1 - evenFraction(account.limits), now);
+    owned.bucket.setLimits(account.limits, now);
     // The owner before may have spent the burst, so only what came in since then is there.
-    bucket.startWith(1 + bucket.ratePerSecond() * seconds(now - membersSince_));
-    return bucket;
+    owned.bucket.startWith(1 + owned.bucket.ratePerSecond() * seconds(now - membersSince_));
+    return owned;
+}
+
+Core::DataCentreName RateDesk::dataCentreOf(const std::string &address) const
+{
+    const auto member = std::ranges::find(owners_.members(), address, &Member::address);
+    return member == owners_.members().end() ? Core::DataCentreName() : member->dataCentre;
+}
+
+bool RateDesk::isDesignatedStandIn(const Core::TeamName &team)
+{
+    const auto &standIns = owners_.ownersOf(team).standIns;
+    return !standIns.empty() && standIns.front().node == self_.node;
+}
+
+StandInPool &RateDesk::poolOf(const Core::TeamName &team, const Account &account, Core::Instant now)
+{
+    const auto found = pools_.find(team);
+    if (found != pools_.end())
+        return found->second;
+    StandInPool &pool = pools_[team];
+    if (isDesignatedStandIn(team))
+        pool.setBase(standInLimits(account.limits), now);
+    return pool;
 }
 
 Grant RateDesk::asked(const Ask &ask, Core::Instant now)
@@ -136,20 +158,34 @@
     grant.isOwner = account != accounts_.end() && hasRole(ask.team, ask.role);
     if (!grant.isOwner)
         return grant;
-    TeamRate &bucket = bucketOf(ask.team, account->second, ask.role, now);
+    if (ask.role == Role::Owner) {
+        grantAsOwner(ask, ownedOf(ask.team, account->second, now), grant, now);
+        return grant;
+    }
+    StandInPool &pool = poolOf(ask.team, account->second, now);
+    grant.operations = pool.take(ask.needed, ask.usualPerSecond, now);
+    if (grant.operations < ask.needed)
+        grant.retryAfter = pool.waitForNext();
+    return grant;
+}
+
+void RateDesk::grantAsOwner(const Ask &ask, Owned &owned, Grant &grant, Core::Instant now)
+{
+    TeamRate &bucket = owned.bucket;
     while (grant.operations < ask.needed && bucket.take(now))
         ++grant.operations;
-    if (grant.operations < ask.needed) {
+    if (grant.operations < ask.needed)
         grant.retryAfter = bucket.waitForNext();
-        return grant;
-    }
     // Expectations are met from the upper half only, so that they take nothing that others need.
     for (std::uint32_t extra = 0; extra < ask.ahead && bucket.isOverHalfFull(); ++extra) {
         if (!bucket.take(now))
             break;
         ++grant.operations;
     }
-    return grant;
+    RateMeter &granted =
+        owned.granted.try_emplace(dataCentreOf(ask.replyTo), grantedSpan).first->second;
+    granted.note(grant.operations, now);
+    grant.usualPerSecond = granted.perSecond(now);
 }
 
 void RateDesk::take(const Core::TeamName &team, Ticket ticket, Core::Instant now)
@@ -159,7 +195,7 @@
         decisions_.push_back({ticket, true, {}, 0, "no limit"});
         return;
     }
-    found->second.evenPart.noteDemand(now);
+    found->second.demand.note(1, now);
     found->second.waiting.push_back(ticket);
     serve(team, found->second, now);
 }
@@ -187,38 +223,42 @@
 
 bool RateDesk::isSilent(const Core::NodeName &node, Core::Instant now) const
 {
-    const auto found = silentUntil_.find(node);
-    return found != silentUntil_.end() && now < found->second;
+    const auto found = silences_.find(node);
+    return found != silences_.end() && now < found->second.until;
 }
 
-std::optional<Role> RateDesk::usableRole(const Core::TeamName &team, Core::Instant now)
+std::pair<Role, Member> RateDesk::chooseAsked(const Core::TeamName &team, const Account &account,
+                                              Core::Instant now)
 {
+    if (account.unanswered >= mostUnanswered)
+        return {Role::StandIn, self_};
     const Owners &owners = owners_.ownersOf(team);
     if (owners.owner && !isSilent(owners.owner->node, now))
-        return Role::Owner;
-    if (owners.standIn && !isSilent(owners.standIn->node, now))
-        return Role::StandIn;
-    return {};
+        return {Role::Owner, *owners.owner};
+    for (const auto &standIn : owners.standIns) {
+        if (!isSilent(standIn.node, now))
+            return {Role::StandIn, standIn};
+    }
+    return {Role::StandIn, self_};
 }
 
 void RateDesk::ask(const Core::TeamName &team, Account &account, Core::Instant now)
 {
-    const auto role = usableRole(team, now);
-    if (!role) {
-        refuse(account, account.waiting.size(), nobodyRetry, "no owner answers");
-        return;
-    }
-    const Owners &owners = owners_.ownersOf(team);
-    const Member &to = *role == Role::Owner ? *owners.owner : *owners.standIn;
+    const auto [role, to] = chooseAsked(team, account, now);
     Ask ask;
     ask.id = nextAsk_++;
     ask.replyTo = self_.address;
     ask.team = team;
-    ask.role = *role;
+    ask.role = role;
     ask.needed = static_cast<std::uint32_t>(account.waiting.size());
-    ask.ahead =
-        static_cast<std::uint32_t>(account.evenPart.demandPerSecond(now) * seconds(aheadOfNeed));
-    account.outstanding = Outstanding{ask.id, *role, to.node, ask.needed, now};
+    if (role == Role::Owner)
+        ask.ahead =
+            static_cast<std::uint32_t>(account.demand.perSecond(now) * seconds(aheadOfNeed));
+    else if (to.node == self_.node)
+        ask.usualPerSecond = account.granted.perSecond(now);
+    else
+        ask.usualPerSecond = account.usualPerSecond;
+    account.outstanding = Outstanding{ask.id, role, to.node, ask.needed, now};
     asking_.insert(team);
     if (to.node == self_.node)
         granted(asked(ask, now), now);
@@ -236,12 +276,19 @@
         return;
     const Outstanding asked = *account.outstanding;
     account.outstanding.reset();
+    account.unanswered = 0;
     asking_.erase(grant.team);
     if (!grant.isOwner) {
-        silentUntil_[asked.to] = now + wrongOwnerTime;
+        avoid(grant.team, asked, wrongOwnerTime, "not_owner", now);
         serve(grant.team, account, now);
         return;
     }
+    if (silences_.erase(asked.to) > 0)
+        events_.push_back({asked.to, grant.team, asked.role, "answers"});
+    if (asked.role == Role::Owner) {
+        account.granted.note(grant.operations, now);
+        account.usualPerSecond = grant.usualPerSecond;
+    }
     account.held = (now < account.heldUntil ? account.held : 0) + grant.operations;
     account.heldUntil = asked.askedAt + grantLifetime;
     const std::size_t lacking =
@@ -257,6 +304,18 @@
     serve(grant.team, account, now);
 }
 
+void RateDesk::avoid(const Core::TeamName &team, const Outstanding &asked, Core::Duration span,
+                     const char *what, Core::Instant now)
+{
+    const auto [silence, isNew] = silences_.try_emplace(asked.to, Silence{now + span, span});
+    if (isNew) {
+        events_.push_back({asked.to, team, asked.role, what});
+        return;
+    }
+    silence->second.span = std::min(silence->second.span * 2, longestSilence);
+    silence->second.until = now + silence->second.span;
+}
+
 void RateDesk::refuse(Account &account, std::size_t count, Core::Duration retryAfter,
                       const std::string &decidedBy)
 {
@@ -289,7 +348,8 @@
     }
     for (const auto &team : late) {
         Account &account = accounts_.at(team);
-        silentUntil_[account.outstanding->to] = now + silentOwnerTime;
+        avoid(team, *account.outstanding, silentOwnerTime, "silent", now);
+        ++account.unanswered;
         account.outstanding.reset();
         asking_.erase(team);
         serve(team, account, now);
@@ -301,6 +361,11 @@
     return std::exchange(decisions_, {});
 }
 
+std::vector<OwnerEvent> RateDesk::takeEvents()
+{
+    return std::exchange(events_, {});
+}
+
 std::vector<AddressedAsk> RateDesk::takeAsks()
 {
     return std::exchange(asks_, {});
--- a/Libraries/Rates/RateDesk.h
+++ b/Libraries/Rates/RateDesk.h
@@ -3,7 +3,10 @@
 #include <Core/Milliseconds.h>
 #include <Rates/Messages.h>
 #include <Rates/OwnerTable.h>
+#include <Rates/RateMeter.h>
+#include <Rates/StandInPool.h>
 #include <Rates/TeamRate.h>
+#include <Rates/Timing.h>
 
 #include <deque>
 #include <map>
@@ -32,6 +35,15 @@
     Ask ask;
 };
 
+/// What this proxy believes of another one changed.
+struct OwnerEvent
+{
+    Core::NodeName node;
+    Core::TeamName team; ///< Whose ask showed it.
+    Role role = Role::Owner;
+    std::string what; ///< `silent`, `not_owner` or `answers`.
+};
+
 /// Whether this proxy sees enough of the fleet to act as an owner.
 enum class Contact {
     Good,
@@ -65,6 +77,7 @@
     void advance(Core::Instant now);
     [[nodiscard]] std::vector<Decision> takeDecisions();
     [[nodiscard]] std::vector<AddressedAsk> takeAsks();
+    [[nodiscard]] std::vector<OwnerEvent> takeEvents();
 
 private:
     struct Outstanding
@@ -76,31 +89,53 @@
         Core::Instant askedAt;
     };
 
+    /// A proxy that isn't asked for a while.
+    struct Silence
+    {
+        Core::Instant until;
+        Core::Duration span;
+    };
+
+    /// A team's rate at its owner.
+    struct Owned
+    {
+        TeamRate bucket;
+        std::map<Core::DataCentreName, RateMeter> granted;
+    };
+
     /// One team, as this proxy's callers use it.
     struct Account
     {
         Sessions::TeamLimits limits;
         TeamRate evenPart;
-        std::uint32_t held = 0; ///< Granted and not started.
+        RateMeter demand{demandSpan};
+        RateMeter granted{grantedSpan}; ///< To this proxy, by the owner.
+        double usualPerSecond = 0;      ///< In the data centre, as the owner told last.
+        std::uint32_t held = 0;         ///< Granted and not started.
         Core::Instant heldUntil;
         std::deque<Ticket> waiting;
         std::optional<Outstanding> outstanding;
+        unsigned unanswered = 0; ///< Asks in a row.
     };
 
-    /// A team's bucket at its owner.
-    using Buckets = std::map<Core::TeamName, TeamRate>;
-
     [[nodiscard]] double evenFraction(const Sessions::TeamLimits &) const;
     [[nodiscard]] Sessions::TeamLimits standInLimits(const Sessions::TeamLimits &) const;
     void applyParts(const Core::TeamName &, Account &, Core::Instant now);
     [[nodiscard]] bool hasRole(const Core::TeamName &, Role);
-    [[nodiscard]] TeamRate &bucketOf(const Core::TeamName &, const Account &, Role,
-                                     Core::Instant now);
+    [[nodiscard]] Owned &ownedOf(const Core::TeamName &, const Account &, Core::Instant now);
+    [[nodiscard]] StandInPool &poolOf(const Core::TeamName &, const Account &, Core::Instant now);
+    void grantAsOwner(const Ask &, Owned &, Grant &, Core::Instant now);
+    [[nodiscard]] bool isDesignatedStandIn(const Core::TeamName &);
+    [[nodiscard]] Core::DataCentreName dataCentreOf(const std::string &address) const;
     [[nodiscard]] static bool spend(Account &, Core::Instant now);
     void serve(const Core::TeamName &, Account &, Core::Instant now);
     void ask(const Core::TeamName &, Account &, Core::Instant now);
-    [[nodiscard]] std::optional<Role> usableRole(const Core::TeamName &, Core::Instant now);
+    /// Whom to ask: the owner, else the stand-in, else this proxy itself.
+    [[nodiscard]] std::pair<Role, Member> chooseAsked(const Core::TeamName &, const Account &,
+                                                      Core::Instant now);
     [[nodiscard]] bool isSilent(const Core::NodeName &, Core::Instant now) const;
+    void avoid(const Core::TeamName &, const Outstanding &, Core::Duration, const char *what,
+               Core::Instant now);
     void refuse(Account &, std::size_t count, Core::Duration retryAfter,
                 const std::string &decidedBy);
 
@@ -110,12 +145,13 @@
     std::size_t proxies_ = 1;
     Core::Instant membersSince_;
     std::map<Core::TeamName, Account> accounts_;
-    Buckets owned_;
-    Buckets standIns_;
-    std::set<Core::TeamName> asking_; ///< Teams with an outstanding ask.
-    std::map<Core::NodeName, Core::Instant> silentUntil_;
+    std::map<Core::TeamName, Owned> owned_;
+    std::map<Core::TeamName, StandInPool> pools_; ///< Of teams whose owner somebody couldn't reach.
+    std::set<Core::TeamName> asking_;             ///< Teams with an outstanding ask.
+    std::map<Core::NodeName, Silence> silences_;  ///< Of those that didn't answer last.
     std::vector<Decision> decisions_;
     std::vector<AddressedAsk> asks_;
+    std::vector<OwnerEvent> events_;
     std::uint64_t nextAsk_ = 1;
 };
 
--- /dev/null
+++ b/Libraries/Rates/RateMeter.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+
+namespace Chervilpin::Rates {
+
+/// Counts events and tells how many there were per second, smoothed over about a span.
+class RateMeter
+{
+public:
+    explicit RateMeter(Core::Duration span);
+
+    void note(double events, Core::Instant now);
+    [[nodiscard]] double perSecond(Core::Instant now) const;
+
+private:
+    [[nodiscard]] double weightAt(Core::Instant now) const;
+
+    Core::Duration span_;
+    double weight_ = 0; ///< Of the events, each decaying with time.
+    Core::Instant at_;
+};
+
+} // namespace Chervilpin::Rates
--- a/Libraries/Rates/TeamRate.cpp
+++ b/Libraries/Rates/TeamRate.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Demand is averaged over about this span: longer than the gaps between a busy team's operations,
-/// and shorter than the 5 s window over which the users count a team's operations.
-constexpr Core::Duration demandSpan{1'500};
 /// A process starts with this part of its burst: its predecessor may have spent the whole of it.
 constexpr double initialFill = 0.5;
 /// A share of a small burst is rounded up to one operation, or the team could never start one.
@@ -66,12 +63,6 @@
     return limits_.ratePerSecond <= 0 || tokens_ > capacity() / 2;
 }
 
-void TeamRate::noteDemand(Core::Instant now)
-{
-    decayDemand(now);
-    demand_ += 1;
-}
-
 bool TeamRate::take(Core::Instant now)
 {
     if (limits_.ratePerSecond <= 0)
@@ -91,16 +82,4 @@
     return Core::Duration(static_cast<std::int64_t>(std::ceil((1 - tokens_) / rate * 1'000)));
 }
 
-void TeamRate::decayDemand(Core::Instant now)
-{
-    demand_ *= std::exp(-seconds(now - demandAt_) / seconds(demandSpan));
-    demandAt_ = now;
-}
-
-double TeamRate::demandPerSecond(Core::Instant now) const
-{
-    return demand_ * std::exp(-seconds(now - demandAt_) / seconds(demandSpan))
-        / seconds(demandSpan);
-}
-
 } // namespace Chervilpin::Rates
--- a/Libraries/Rates/TeamRate.h
+++ b/Libraries/Rates/TeamRate.h
@@ -25,22 +25,14 @@
     /// When the next operation may be taken at the earliest.
     [[nodiscard]] Core::Duration waitForNext() const;
 
-    /// Counts an operation that is asked for, granted or not.
-    void noteDemand(Core::Instant now);
-    /// Operations asked for per second; smoothed over some seconds.
-    [[nodiscard]] double demandPerSecond(Core::Instant now) const;
-
 private:
     void refill(Core::Instant now);
-    void decayDemand(Core::Instant now);
     [[nodiscard]] double capacity() const;
 
     Sessions::TeamLimits limits_;
     double share_ = 0;
     double tokens_ = 0;
     Core::Instant refilledAt_;
-    double demand_ = 0; ///< Operations, each decaying with demandSpan.
-    Core::Instant demandAt_;
     bool isNew_ = true;
 };
 
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -275,6 +275,11 @@
                               {decision.retryAfter, decision.ratePerSecond, decision.decidedBy},
                               now);
     }
+    for (const auto &event : rates_.takeEvents())
+        Observe::log(Severity::Info, "rate_owner_" + event.what,
+                     {{"owner", event.node.value()},
+                      {"team", event.team.value()},
+                      {"role", event.role == Rates::Role::Owner ? "owner" : "stand_in"}});
     const auto asks = rates_.takeAsks();
     for (const auto &ask : asks) {
         metrics_.add("chervilpin_rate_asks_total", "");
--- a/Tests/FleetWire/TestPeerMessageCodec.cpp
+++ b/Tests/FleetWire/TestPeerMessageCodec.cpp
@@ -45,15 +45,17 @@
 
 TEST(PeerMessageCodec, AsksAndGrantsAreReadAsTheyWereWritten)
 {
-    Rates::Ask ask{7, "10.0.0.1:9", Core::TeamName("t"), Rates::Role::StandIn, 3, 2};
+    Rates::Ask ask{7, "10.0.0.1:9", Core::TeamName("t"), Rates::Role::StandIn, 3, 2, 0.75};
     const auto decodedAsk = FleetWire::decode(FleetWire::encode(ask));
     CHECK(decodedAsk.has_value());
     const auto *readAsk = std::get_if<Rates::Ask>(&*decodedAsk);
     CHECK(readAsk != nullptr);
     CHECK(readAsk->id == 7 && readAsk->replyTo == ask.replyTo && readAsk->team == ask.team);
     CHECK(readAsk->role == Rates::Role::StandIn && readAsk->needed == 3 && readAsk->ahead == 2);
+    DOUBLES_EQUAL(0.75, readAsk->usualPerSecond, 0.001);
 
-    Rates::Grant grant{7, Core::TeamName("t"), Core::NodeName("n"), false, 4, Core::Duration(250)};
+    Rates::Grant grant{7,   Core::TeamName("t"), Core::NodeName("n"), false, 4, Core::Duration(250),
+                       1.25};
     const auto decodedGrant = FleetWire::decode(FleetWire::encode(grant));
     CHECK(decodedGrant.has_value());
     const auto *readGrant = std::get_if<Rates::Grant>(&*decodedGrant);
@@ -61,6 +63,7 @@
     CHECK(readGrant->id == 7 && readGrant->team == grant.team && readGrant->from == grant.from);
     CHECK(!readGrant->isOwner && readGrant->operations == 4);
     CHECK(readGrant->retryAfter == grant.retryAfter);
+    DOUBLES_EQUAL(1.25, readGrant->usualPerSecond, 0.001);
 }
 
 TEST(PeerMessageCodec, AnAskWithoutATeamOrAnAddressIsRefused)
--- a/Tests/Rates/TestRateDesk.cpp
+++ b/Tests/Rates/TestRateDesk.cpp
@@ -13,10 +13,12 @@
 namespace {
 
 /// Plays callers at random proxies, so many each second, for so long.
-void play(DeskFixture &fleet, double perSecond, Core::Duration span, std::mt19937 &random)
+/// The first so many proxies have none.
+void play(DeskFixture &fleet, double perSecond, Core::Duration span, std::mt19937 &random,
+          std::size_t without = 0)
 {
     std::bernoulli_distribution comes(perSecond / 1'000);
-    std::uniform_int_distribution<std::size_t> at(0, fleet.members.size() - 1);
+    std::uniform_int_distribution<std::size_t> at(without, fleet.members.size() - 1);
     for (std::int64_t i = 0; i < span.milliseconds(); ++i) {
         const std::string &name = fleet.members[at(random)].address;
         if (comes(random) && !fleet.dead.contains(name))
@@ -87,6 +89,39 @@
     }
 }
 
+/// The days scale-1 and trouble-2 of kcn-jakarta-grown: proxies are cut from each other for
+/// seconds, while their callers go on as before.
+TEST(RateDesk, ACutLeavesMostOfASteadyTeamServed)
+{
+    for (const double rate : {10.0, 100.0}) {
+        DeskFixture fleet(68, {rate, rate});
+        play(fleet, rate * 0.62, 10_s, random);
+        fleet.dead.insert(fleet.owner());
+        fleet.granted.clear();
+        fleet.refused.clear();
+        play(fleet, rate * 0.62, 6_s, random);
+        CHECK(fleet.granted.size() > fleet.refused.size());
+    }
+}
+
+/// The same with a team that asks for many times its limit everywhere: two thirds of the proxies
+/// are cut from the owner, and start no more than what is accepted beyond the limit, which the
+/// others may use up.
+TEST(RateDesk, InACutATeamThatSurgesIsHeldBack)
+{
+    for (const double rate : {6.0, 10.0, 30.0, 100.0}) {
+        const Sessions::TeamLimits limits{rate, rate};
+        DeskFixture fleet(68, limits);
+        play(fleet, rate * 0.62, 10_s, random);
+        fleet.dead.insert(fleet.owner());
+        fleet.granted.clear();
+        constexpr std::size_t others = 24;
+        play(fleet, rate * 4.6 * 44 / 68, 5_s, random, others);
+        const double beyond = accepted(limits) - rate * 5 - limits.burst;
+        CHECK(static_cast<double>(fleet.granted.size()) <= beyond);
+    }
+}
+
 TEST(RateDesk, InASmallFleetMostAreServedWithoutTheOwner)
 {
     DeskFixture fleet(7, {60, 60});
