--- a/Libraries/Fleet/StoreFeed.cpp
+++ b/Libraries/Fleet/StoreFeed.cpp
@@ -14,6 +14,8 @@
 constexpr Core::Duration firstDelay{150};
 /// Bounds the calls that an unreachable store is charged with, and how late its return is noticed.
 constexpr Core::Duration longestDelay{600};
+/// The same for feeds that are told by another one; its word may be late or lost.
+constexpr Core::Duration longestUntoldDelay{3'000};
 /// Between two watches, the second of which follows a change. When all proxies of a large fleet
 /// register at once, each would otherwise make a call for each of them.
 constexpr Core::Duration firstInterval{200};
@@ -87,6 +89,10 @@
 void StoreFeed::failed()
 {
     after_.clear();
+    if (probing_ == Probing::No) {
+        delay_ = longestUntoldDelay;
+        return;
+    }
     delay_ = delay_ == Core::Duration() ? firstDelay : std::min(delay_ * 2, longestDelay);
 }
 
--- a/Libraries/Fleet/StoreFeed.h
+++ b/Libraries/Fleet/StoreFeed.h
@@ -57,12 +57,19 @@
     /// The history is gone, or something newer than this feed is known to exist.
     void restart();
     void failed();
+    /// Whether this feed finds out when a lost store is back, or is told by another one.
+    enum class Probing {
+        Yes,
+        No,
+    };
+    void setProbing(Probing probing) { probing_ = probing; }
 
 private:
     Core::Duration wait_;
     Core::Duration delay_;
     Core::Duration interval_; ///< Between two watches.
     bool isListing_ = true;
+    Probing probing_ = Probing::Yes;
     std::string after_;
     Revision since_ = 0;
 };
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -242,10 +242,15 @@
 void Node::fleetFeedChanged(bool isReachable)
 {
     fleet_.storeReachable(isReachable, Core::SteadyClock::now());
-    // Their watches may hang on connections that went silent with this one.
+    // Their watches may hang on connections that went silent with this one. While the store is out
+    // of reach, one feed is enough to find out when it is back.
+    const auto probing =
+        isReachable ? Fleet::StoreFeed::Probing::Yes : Fleet::StoreFeed::Probing::No;
     for (const auto &link : storeLinks_) {
-        if (link.get() != fleetLink_)
-            link->refresh();
+        if (link.get() == fleetLink_)
+            continue;
+        link->setProbing(probing);
+        link->refresh();
     }
 }
 
--- a/Services/SessionProxy/StoreLink.h
+++ b/Services/SessionProxy/StoreLink.h
@@ -32,6 +32,7 @@
     void start();
     /// Lists again at once, because something newer is known to exist.
     void refresh();
+    void setProbing(Fleet::StoreFeed::Probing probing) { feed_.setProbing(probing); }
 
 private:
     void call();
--- a/Tests/Fleet/TestStoreFeed.cpp
+++ b/Tests/Fleet/TestStoreFeed.cpp
@@ -77,3 +77,14 @@
     feed.changed(6, false);
     CHECK(feed.pause(asked, asked) == 200_ms);
 }
+
+/// The cuts of kcn-jakarta-grown scale-1: three feeds of 51 proxies asked a store out of reach.
+TEST(StoreFeed, AFeedThatIsToldOfTheStoresReturnHardlyAsks)
+{
+    feed.setProbing(StoreFeed::Probing::No);
+    feed.failed();
+    CHECK(feed.delay() == 3_s);
+    feed.setProbing(StoreFeed::Probing::Yes);
+    feed.failed();
+    CHECK(feed.delay() <= 600_ms);
+}
