Lapse of rights is counted from the first claim, and retired members are known to every proxy

The leader was suspended right after its claim; its successor counted 11 s anew from its own claim, and waited for a VM that had been gone since 7 s, because the time for which a member was retired was known to the leader before only. Ruled out: statements in flight (cut after 250 ms), the order itself (answered at once).

Change: a record of a replacement names the record that it replaces; while that is the same, a lapse is counted from when the proxy learned of the first. All proxies note when they saw a member as retired, and its adoption isn't waited for once its rights have lapsed. Safe, since no right is given after either moment.

Before: ANewLeaderCountsTheLapseFromTheFirstClaim and ANewLeaderNeedNotWaitAnewForARetiredMember fail.

--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -40,33 +40,48 @@
     storeSeenAt_ = std::max(storeSeenAt_, askedAt);
     if (view_.isMember(self_.node, self_.boot)) {
         for (const auto &[group, primary] : view_.primaries())
-            confirmGroup(group, askedAt);
+            confirmGroup(group, askedAt, now);
     }
-    announceChanged();
+    announceChanged(now);
     membersLearned(now);
     nextReview_ = now;
 }
 
-void FleetEngine::confirmGroup(const Core::GroupName &group, Core::Instant confirmedAt)
+void FleetEngine::confirmGroup(const Core::GroupName &group, Core::Instant confirmedAt,
+                               Core::Instant now)
 {
     auto &state = groups_[group];
     if (state.isConfirmed && confirmedAt <= state.confirmedAt)
         return;
     state.isConfirmed = true;
     state.confirmedAt = confirmedAt;
-    announce(group, state);
+    announce(group, state, now);
 }
 
-void FleetEngine::announceChanged()
+void FleetEngine::announceChanged(Core::Instant now)
 {
     for (const auto &[group, primary] : view_.primaries()) {
         auto &state = groups_[group];
         if (state.announced < primary.revision)
-            announce(group, state);
+            announce(group, state, now);
     }
 }
 
-void FleetEngine::announce(const Core::GroupName &group, GroupState &state)
+void FleetEngine::noteReplacing(GroupState &state, const PrimaryRecord &record, Core::Instant now)
+{
+    if (record.phase == PrimaryPhase::Active) {
+        state.replaces = 0;
+        return;
+    }
+    // Between two records of a replacement the old primary may have been active again, unless both
+    // say that they replace the same record.
+    if (state.replaces != 0 && state.replaces == record.replaces)
+        return;
+    state.replaces = record.replaces;
+    state.replacingSince = now;
+}
+
+void FleetEngine::announce(const Core::GroupName &group, GroupState &state, Core::Instant now)
 {
     const auto *primary = view_.findPrimary(group);
     if (!primary)
@@ -78,6 +93,7 @@
              {"phase", std::string(toString(primary->record.phase))},
              {"revision", std::to_string(primary->revision)},
              {"writer", primary->record.writer.value()}});
+        noteReplacing(state, primary->record, now);
         // The new primary is another database, of which nothing is known yet.
         state.health = Health::Unknown;
     }
@@ -176,26 +192,27 @@
         record.database = report.database;
         record.phase = report.phase;
         record.candidate = report.candidate;
+        record.replaces = report.replaces;
         record.writer = message.node;
         if (report.revision != 0)
             view_.learn({record, report.revision});
         if (report.health == Health::Suspect)
             nextReview_ = now;
     }
-    announceChanged();
+    announceChanged(now);
     if (!message.confirmedAge || !message.isReceiverMember || message.echoBoot != self_.boot)
         return;
     // The sender's message left at this moment of the own clock or later.
     const Core::Instant leftAt = message.echoSentAt + message.echoHeld;
     if (message.recordsSum == view_.recordsSum()) {
         for (const auto &[group, primary] : view_.primaries())
-            confirmGroup(group, leftAt - *message.confirmedAge);
+            confirmGroup(group, leftAt - *message.confirmedAge, now);
         return;
     }
     for (const auto &report : message.primaries) {
         const auto *primary = view_.findPrimary(report.group);
         if (primary && primary->revision == report.revision)
-            confirmGroup(report.group, leftAt - *message.confirmedAge);
+            confirmGroup(report.group, leftAt - *message.confirmedAge, now);
     }
 }
 
@@ -226,7 +243,7 @@
         {{"key", keyOf(written.mapped())}, {"revision", std::to_string(revision)}});
     if (!std::holds_alternative<PrimaryRecord>(written.mapped()))
         return;
-    announceChanged();
+    announceChanged(now);
     sendToAll(Reply::Wanted, now);
 }
 
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -76,6 +76,10 @@
         Revision announced = 0; ///< The revision for which PrimaryRight was given last.
         Core::Instant confirmedAt;
         bool isConfirmed = false;
+        /// While the primary is being replaced: the record that named it as active, and since when
+        /// this proxy knows that no right to it is given any more.
+        Revision replaces = 0;
+        Core::Instant replacingSince;
         std::vector<Sessions::DatabaseEntry> databases;
     };
 
@@ -89,6 +93,14 @@
         All,      ///< All groups; the receiver is asked for the same.
     };
 
+    /// A member that is marked as retired.
+    struct Retirement
+    {
+        Boot boot = 0;
+        Core::Instant since; ///< When this proxy saw the mark.
+        Core::Instant removalAskedAt;
+    };
+
     /// What passed with one other proxy besides heartbeats as usual.
     struct Exchange
     {
@@ -97,9 +109,10 @@
     };
 
     void confirm(Core::Instant askedAt, Core::Instant now);
-    void confirmGroup(const Core::GroupName &, Core::Instant confirmedAt);
-    void announce(const Core::GroupName &, GroupState &);
-    void announceChanged();
+    void confirmGroup(const Core::GroupName &, Core::Instant confirmedAt, Core::Instant now);
+    void announce(const Core::GroupName &, GroupState &, Core::Instant now);
+    static void noteReplacing(GroupState &, const PrimaryRecord &, Core::Instant now);
+    void announceChanged(Core::Instant now);
     void learnFrom(const Heartbeat &, Core::Instant now);
 
     void write(CallId, Record, Revision expected);
@@ -137,6 +150,8 @@
     [[nodiscard]] bool isReported(const PrimaryRecord &, const GroupState &, Revision) const;
     void membersLearned(Core::Instant now);
     void findContacts();
+    void noteRetirements(Core::Instant now);
+    [[nodiscard]] bool isLapsed(const Core::NodeName &, Core::Instant now) const;
     void log(std::string name, std::vector<std::pair<std::string, std::string>> fields = {});
 
     FleetSettings self_;
@@ -172,8 +187,8 @@
     Core::Instant leadingSince_;
     Core::Instant nextBeat_;
     Core::Instant nextReview_;
-    std::map<Core::NodeName, Core::Instant> memberSince_;  ///< Since when this proxy knows it.
-    std::map<Core::NodeName, Core::Instant> retiredSince_; ///< Since when it was seen as retired.
+    std::map<Core::NodeName, Core::Instant> memberSince_; ///< Since when this proxy knows it.
+    std::map<Core::NodeName, Retirement> retirements_;
     std::map<Core::GroupName, Core::Instant> firstPrimaryWrittenAt_;
     bool isStoreLost_ = false;
     bool isListed_ = false;  ///< Whether the records were ever listed.
--- a/Libraries/Fleet/FleetEngineBeat.cpp
+++ b/Libraries/Fleet/FleetEngineBeat.cpp
@@ -37,6 +37,7 @@
 void FleetEngine::membersLearned(Core::Instant now)
 {
     findContacts();
+    noteRetirements(now);
     std::vector<MemberRecord> active;
     for (const auto &[node, member] : view_.members()) {
         if (!member.record.isRetired)
@@ -155,6 +156,7 @@
         report.database = primary->record.database;
         report.phase = primary->record.phase;
         report.candidate = primary->record.candidate;
+        report.replaces = primary->record.replaces;
         report.adopted = state.released;
         report.health = state.health;
         report.mark = state.mark;
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -149,10 +149,6 @@
 {
     if (now < leadingSince_ + retireAfter || now < contactSince_ + retireAfter || !isInTouch(now))
         return;
-    std::erase_if(retiredSince_, [&](const auto &entry) {
-        const auto *member = view_.findMember(entry.first);
-        return !member || !member->record.isRetired;
-    });
     for (const auto &[node, member] : view_.members()) {
         if (node == self_.node || peers_.isHeard(node, retireAfter, now))
             continue;
@@ -166,15 +162,36 @@
             write(nextCall_++, retired, member.revision);
             continue;
         }
-        // Its rights were given before the mark was written, which was before it was seen.
-        const auto seen = retiredSince_.try_emplace(node, now).first->second;
-        if (now < seen + rightDuration + clockDrift)
+        Retirement &retirement = retirements_[node];
+        if (!isLapsed(node, now) || now < retirement.removalAskedAt + rightDuration)
             continue;
-        retiredSince_[node] = now;
+        retirement.removalAskedAt = now;
         actions_.emplace_back(DeleteRecord{memberKey(node), member.revision});
     }
 }
 
+void FleetEngine::noteRetirements(Core::Instant now)
+{
+    // Every proxy does, so that a new leader needn't wait anew.
+    std::erase_if(retirements_, [&](const auto &entry) {
+        const auto *member = view_.findMember(entry.first);
+        return !member || !member->record.isRetired || member->record.boot != entry.second.boot;
+    });
+    for (const auto &[node, member] : view_.members()) {
+        if (member.record.isRetired)
+            retirements_.try_emplace(node, Retirement{member.record.boot, now, {}});
+    }
+}
+
+bool FleetEngine::isLapsed(const Core::NodeName &node, Core::Instant now) const
+{
+    // A retired member's rights were given before the mark was written, which was before it was
+    // seen.
+    const auto retirement = retirements_.find(node);
+    return retirement != retirements_.end()
+        && now >= retirement->second.since + rightDuration + clockDrift;
+}
+
 void FleetEngine::reviewGroup(const Core::GroupName &group, GroupState &state, Core::Instant now)
 {
     const auto *primary = view_.findPrimary(group);
@@ -312,9 +329,13 @@
     }
     if (!plan.isClaimed())
         return inputs;
-    const bool isLapsed = now >= plan.claimedAt() + rightDuration + clockDrift;
-    inputs.isFenced = isLapsed || std::ranges::all_of(view_.members(), [&](const auto &entry) {
-                          return hasAdopted(entry.second.record, group, plan.claimRevision());
+    // An earlier leader may have begun the replacement.
+    const Core::Instant since =
+        state.replaces != 0 ? std::min(state.replacingSince, plan.claimedAt()) : plan.claimedAt();
+    const bool areAllLapsed = now >= since + rightDuration + clockDrift;
+    inputs.isFenced = areAllLapsed || std::ranges::all_of(view_.members(), [&](const auto &entry) {
+                          return isLapsed(entry.first, now)
+                              || hasAdopted(entry.second.record, group, plan.claimRevision());
                       });
     return inputs;
 }
--- a/Libraries/Fleet/Heartbeat.h
+++ b/Libraries/Fleet/Heartbeat.h
@@ -23,6 +23,7 @@
     Core::DatabaseName database;
     PrimaryPhase phase = PrimaryPhase::Active;
     Core::DatabaseName candidate; ///< While ordered.
+    Revision replaces = 0;        ///< As in the record.
     Revision adopted = 0;         ///< The sender uses no primary of an older record any more.
     Health health = Health::Unknown;
     Core::LogMark mark; ///< The highest that the sender saw of the group.
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -37,6 +37,7 @@
     , revision_(revision)
     , reason_(reason)
     , self_(std::move(self))
+    , replaces_(record_.phase == PrimaryPhase::Active ? revision : record_.replaces)
     , candidate_(record_.phase == PrimaryPhase::Ordered ? record_.candidate : Core::DatabaseName())
     , attempt_(record_.attempt)
 { }
@@ -161,6 +162,7 @@
 {
     PrimaryRecord changed = record_;
     changed.phase = phase;
+    changed.replaces = phase == PrimaryPhase::Active ? 0 : replaces_;
     if (phase == PrimaryPhase::Ordered)
         changed.candidate = candidate_;
     if (phase == PrimaryPhase::Active) {
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -110,6 +110,7 @@
     Core::Instant retryAt_; ///< Nothing is done before, after a call failed.
     std::map<Core::DatabaseName, Sessions::DatabaseStatus> statuses_;
     std::set<Core::DatabaseName> notRunning_;
+    Revision replaces_;            ///< The record that named the old primary as active.
     Core::DatabaseName candidate_; ///< Chosen by this plan, or by the one that it resumes.
     std::uint64_t attempt_ = 0;
 };
--- a/Libraries/Fleet/Records.cpp
+++ b/Libraries/Fleet/Records.cpp
@@ -50,7 +50,8 @@
 {
     return {{"group", record.group.value()},   {"database", record.database.value()},
             {"phase", toString(record.phase)}, {"candidate", record.candidate.value()},
-            {"writer", record.writer.value()}, {"attempt", record.attempt}};
+            {"replaces", record.replaces},     {"writer", record.writer.value()},
+            {"attempt", record.attempt}};
 }
 
 std::string text(const json::object &object, std::string_view name)
@@ -84,6 +85,7 @@
     record.database = Core::DatabaseName(text(object, "database"));
     record.phase = readPhase(text(object, "phase"));
     record.candidate = Core::DatabaseName(text(object, "candidate"));
+    record.replaces = object.at("replaces").to_number<Revision>();
     record.writer = Core::NodeName(text(object, "writer"));
     record.attempt = object.at("attempt").to_number<std::uint64_t>();
     return record;
--- a/Libraries/Fleet/Records.h
+++ b/Libraries/Fleet/Records.h
@@ -56,8 +56,10 @@
     Core::DatabaseName database; ///< While replacing: the one to be replaced.
     PrimaryPhase phase = PrimaryPhase::Active;
     Core::DatabaseName candidate; ///< While ordered.
-    Core::NodeName writer;        ///< Who wrote it, so that a lost answer can be recognised.
-    std::uint64_t attempt = 0;    ///< Differs between a writer's writes.
+    /// While replacing or ordered: the revision of the record that named the old primary as active.
+    Revision replaces = 0;
+    Core::NodeName writer;     ///< Who wrote it, so that a lost answer can be recognised.
+    std::uint64_t attempt = 0; ///< Differs between a writer's writes.
 };
 
 using Record = std::variant<MemberRecord, LeaderRecord, PrimaryRecord>;
--- a/Libraries/FleetWire/PeerMessageCodec.cpp
+++ b/Libraries/FleetWire/PeerMessageCodec.cpp
@@ -44,6 +44,7 @@
     primary.set_database(report.database.value());
     primary.set_is_active(report.phase == Fleet::PrimaryPhase::Active);
     primary.set_candidate(report.candidate.value());
+    primary.set_replaces(report.replaces);
     primary.set_adopted(report.adopted);
     primary.set_health(toWire(report.health));
     primary.set_mark_term(report.mark.term);
@@ -66,6 +67,7 @@
     report.database = Core::DatabaseName(primary.database());
     report.phase = readPhase(primary);
     report.candidate = Core::DatabaseName(primary.candidate());
+    report.replaces = primary.replaces();
     report.adopted = primary.adopted();
     report.health = fromWire(primary.health());
     report.mark = {primary.mark_term(), primary.mark_position()};
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -294,3 +294,37 @@
     CHECK(large.broken.empty());
     LONGS_EQUAL(39, large.users()["db-3"].size());
 }
+
+/// trouble-3 of kcn-jakarta-grown: the leader is suspended between its claim and its order, and a
+/// VM that is gone holds rights. The next leader counts from the first claim.
+TEST(FleetEngine, ANewLeaderCountsTheLapseFromTheFirstClaim)
+{
+    fleet.silentDatabases.insert("db-1");
+    const std::string first = fleet.leader();
+    const std::string stuck = first == "n3" ? "n2" : "n3";
+    fleet.proxies.at(stuck).holdsOldPrimary = true;
+    fleet.report(Health::Suspect);
+    fleet.pass(500_ms);
+    LONGS_EQUAL(0, fleet.orders.size());
+    fleet.paused.insert(first);
+    fleet.pass(11_s + 500_ms);
+    LONGS_EQUAL(1, fleet.orders.size());
+    CHECK(fleet.broken.empty());
+}
+
+/// The same day: whoever leads next knows how long a member has been retired.
+TEST(FleetEngine, ANewLeaderNeedNotWaitAnewForARetiredMember)
+{
+    FleetFixture four(4);
+    const std::string first = four.leader();
+    const std::string gone = first == "n4" ? "n3" : "n4";
+    four.paused.insert(gone);
+    four.pass(12_s);
+    four.paused.insert(first);
+    four.pass(9_s);
+    // The member that went first is forgotten; the leader before is only retired yet.
+    for (const auto &[name, proxy] : four.proxies) {
+        if (!four.paused.contains(name))
+            LONGS_EQUAL(3, proxy.engine->memberCount());
+    }
+}
--- a/Tests/Fleet/TestRecords.cpp
+++ b/Tests/Fleet/TestRecords.cpp
@@ -35,7 +35,12 @@
     CHECK(again.node == member.node && again.boot == 7 && again.isRetired);
     LONGS_EQUAL(4, again.adopted.at(Core::GroupName("g")));
     CHECK(decode(leaderKey(), encode(LeaderRecord{Core::NodeName("n"), 1, 2})).has_value());
-    CHECK(decode(primaryKey(Core::GroupName("g")), encode(primary("a"))).has_value());
+    PrimaryRecord replaced = primary("a");
+    replaced.phase = PrimaryPhase::Replacing;
+    replaced.replaces = 17;
+    const auto readPrimary = decode(primaryKey(Core::GroupName("g")), encode(replaced));
+    CHECK(readPrimary.has_value());
+    LONGS_EQUAL(17, std::get<PrimaryRecord>(*readPrimary).replaces);
 }
 
 TEST(Records, WhatNobodyWroteIsRefused)
--- a/Tests/FleetWire/TestPeerMessageCodec.cpp
+++ b/Tests/FleetWire/TestPeerMessageCodec.cpp
@@ -25,6 +25,7 @@
     report.phase = Fleet::PrimaryPhase::Ordered;
     report.candidate = Core::DatabaseName("c");
     report.adopted = 2;
+    report.replaces = 8;
     report.health = Fleet::Health::Suspect;
     report.mark = {4, 5};
     sent.primaries.push_back(report);
@@ -39,7 +40,7 @@
     CHECK(read->confirmedAge == sent.confirmedAge && read->isReceiverMember);
     const auto &primary = read->primaries.front();
     CHECK(primary.phase == Fleet::PrimaryPhase::Ordered && primary.adopted == 2);
-    CHECK(primary.candidate == report.candidate);
+    CHECK(primary.candidate == report.candidate && primary.replaces == 8);
     CHECK(primary.health == Fleet::Health::Suspect && primary.mark == Fakes::logMark(4, 5));
 }
 
