Where connections are scarce, idle ones are closed and a proxy may borrow

Ruled out: slots (the databases were less than half in use), the pace of evictions (one connection can't be evicted while it is lent).

Change: ConnectionLimits. If a proxy's even part is small against the number of teams, idle connections are closed after 0.3 s and two more may be open.

Before: ATransactionDoesNotHoldUpOthersWhereConnectionsAreScarce fails. After: 43 tests of Sessions pass.

--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -296,6 +296,7 @@
         noteFailure(databases_.at(connection->database), now);
         drop(id, now);
     }
+    closeIdle(now);
     if (isAnyBusy || !statusWanted_.empty())
         scheduleReview(now + reviewInterval);
     serveStatus(now);
@@ -317,6 +318,26 @@
     }
 }
 
+void SessionEngine::closeIdle(Core::Instant now)
+{
+    std::vector<ConnectionId> rested;
+    for (const auto &[name, database] : databases_) {
+        if (database.connections.empty() || connectionLimits(database).areIdleKept)
+            continue;
+        for (const ConnectionId id : database.connections) {
+            const Connection &connection = connections_.at(id);
+            if (connection.state != Connection::State::Idle)
+                continue;
+            if (now >= connection.since + idleTime)
+                rested.push_back(id);
+            else
+                scheduleReview(connection.since + idleTime);
+        }
+    }
+    for (const ConnectionId id : rested)
+        drop(id, now);
+}
+
 void SessionEngine::reviewGroup(Group &group, Core::Instant now)
 {
     if (group.released < group.revision && now >= group.releaseBy) {
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -2,6 +2,7 @@
 
 #include <Core/Milliseconds.h>
 #include <Sessions/Actions.h>
+#include <Sessions/ConnectionLimits.h>
 #include <Sessions/Database.h>
 #include <Sessions/Placement.h>
 #include <Sessions/RoutingTable.h>
@@ -103,7 +104,7 @@
     [[nodiscard]] bool isAnyShortlyLent(const Database &, const Core::TeamName &) const;
     [[nodiscard]] bool isOpening(const Database &, const Core::TeamName &) const;
     void openFor(Database &, const Core::TeamName &, Core::Duration waited, Core::Instant now);
-    [[nodiscard]] std::size_t connectionShare(const Database &) const;
+    [[nodiscard]] ConnectionLimits connectionLimits(const Database &) const;
     void lend(Session &, Connection &, Core::Instant now);
     void proceed(Session &, Core::Instant now);
     void send(Connection &, Purpose, Statement, std::optional<Core::LogMark>, Core::Instant now);
@@ -141,6 +142,7 @@
     void reviewHealth(Group &, Core::Instant now);
     void releaseOldPrimary(Group &, Core::Instant now);
     void cutDatabase(const Core::DatabaseName &, const char *why, Core::Instant now);
+    void closeIdle(Core::Instant now);
     void serveStatus(Core::Instant now);
     void noteFailure(Database &, Core::Instant now);
     [[nodiscard]] bool isWriteLike(const Session &) const;
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Connections to a database that no proxy plans with: for restarts, when the old process's
-/// connections still count, and for the status of a new primary.
-constexpr std::size_t connectionReserve = 2;
-
 /// Whether the operation can only run on the primary.
 bool isPrimaryOnly(const Session &session)
 {
@@ -148,17 +144,16 @@
     });
 }
 
-std::size_t SessionEngine::connectionShare(const Database &database) const
+ConnectionLimits SessionEngine::connectionLimits(const Database &database) const
 {
     // A status may be asked for before the configuration is known.
     if (!table_)
-        return 1;
-    const auto limits = table_->groups.find(database.entry.group);
-    if (limits == table_->groups.end())
-        return 1;
-    const std::size_t all = limits->second.maximumConnections;
-    const std::size_t planned = all > connectionReserve ? all - connectionReserve : 1;
-    return std::max<std::size_t>(1, planned / memberCount_);
+        return {};
+    const auto group = table_->groups.find(database.entry.group);
+    if (group == table_->groups.end())
+        return {};
+    return ConnectionLimits::divide(group->second.maximumConnections, memberCount_,
+                                    table_->teams.size());
 }
 
 double SessionEngine::evictionRate(const Database &database) const
@@ -204,7 +199,7 @@
 {
     if (now < database.openAfter)
         return;
-    if (database.connections.size() >= connectionShare(database)) {
+    if (database.connections.size() >= connectionLimits(database).open) {
         const Connection *victim = findVictim(database);
         if (!victim)
             return;
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -26,6 +26,9 @@
 /// All proxies together let the opening of connections in others' places take this part of a
 /// database's slots. Without a bound, most of a loaded database's time goes into opening.
 constexpr double evictionSlotFraction = 0.25;
+/// Idle connections are closed after this where they are not worth keeping. A caller's next
+/// statement mostly comes sooner.
+constexpr Core::Duration idleTime{300};
 /// How long opening a connection takes a slot.
 constexpr double openSlotMilliseconds = 12.0;
 /// A statement waits this long for a connection of its team that another statement uses, before
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -459,3 +459,28 @@
     LONGS_EQUAL(1, sent.size());
     CHECK(sent.front().statement.kind == StatementKind::Status);
 }
+
+/// The load of mcr-registry-grown: 75 proxies and 80 teams share 82 connections of a database, and
+/// a transaction with pauses held up all other callers of its proxy.
+TEST(SessionEngine, ATransactionDoesNotHoldUpOthersWhereConnectionsAreScarce)
+{
+    auto table = EngineFixture::table(2);
+    for (int i = 0; i < 80; ++i)
+        table->teams[Core::TeamName("t" + std::to_string(i))] = {};
+    fixture.engine.configure(table, fixture.now);
+    fixture.engine.setMemberCount(30, fixture.now);
+    const SessionId writer = fixture.open("latest");
+    fixture.say(writer, StatementKind::Begin);
+    fixture.say(writer, StatementKind::Write, "1 x");
+    LONGS_EQUAL(1, fixture.sent().size());
+    const SessionId other = fixture.open("latest");
+    fixture.say(other, StatementKind::Read, "1");
+    const auto sent = fixture.sent();
+    LONGS_EQUAL(1, sent.size());
+    fixture.done(sent.front().connection, {1, 1});
+    (void)fixture.take();
+    LONGS_EQUAL(2, fixture.engine.connectionCount());
+    fixture.pass(400_ms);
+    (void)fixture.take();
+    LONGS_EQUAL(1, fixture.engine.connectionCount());
+}
