--- a/Meta/check-models.sh
+++ b/Meta/check-models.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # Checks the models in Meta/Models exhaustively: the good ones must pass, the broken ones must fail.
-# Usage: check-models.sh [full]; full adds the largest model, about 20 million states.
+# Usage: check-models.sh [full]; full adds the largest models, about 20 million states each.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-model="$PWD/Meta/Models/failover.pml"
+models="$PWD/Meta/Models"
+model="$models/failover.pml"
 directory="$(mktemp -d)"
 trap 'rm -rf "$directory"' EXIT
 cd "$directory"
@@ -38,4 +39,14 @@
 if [ "${1:-}" = full ]; then
     mustPass -DWRITES=2 -DFIRST_LAST=4
 fi
+
+model="$models/rights.pml"
+mustPass -DRIGHT=1 -DTIME=2 -DREVISIONS=4
+for defect in NO_FENCE CONFIRM_AT_ANSWER ADOPT_IN_FLIGHT NO_ANNOUNCE; do
+    mustFail -DRIGHT=1 -DTIME=3 -DREVISIONS=4 "-D$defect"
+done
+mustFail -DRIGHT=1 -DTIME=3 -DREVISIONS=6 -DLAPSE_FROM_ANY
+if [ "${1:-}" = full ]; then
+    mustPass -DRIGHT=2 -DTIME=3 -DREVISIONS=4
+fi
 echo "all models as expected"
