--- a/Tests/Rates/TestTeamRate.cpp
+++ b/Tests/Rates/TestTeamRate.cpp
@@ -4,7 +4,6 @@
 
 using namespace Chervilpin;
 using namespace Chervilpin::Rates;
-using Chervilpin::Sessions::TeamLimits;
 using namespace Chervilpin::Core::Literals;
 
 namespace {
