--- a/Libraries/Rates/RateDesk.cpp
+++ b/Libraries/Rates/RateDesk.cpp
@@ -78,7 +78,7 @@
     }
     for (auto &[team, account] : accounts_) {
         if (!limits.contains(team))
-            refuse(account, account.waiting.size(), nobodyRetry, "the team is gone");
+            refuse(account, account.waiting.size(), removedTeamRetry, "the team is gone");
     }
     const auto isGone = [&](const auto &entry) {
         return !limits.contains(entry.first);
--- a/Libraries/Rates/RateDesk.h
+++ b/Libraries/Rates/RateDesk.h
@@ -62,7 +62,8 @@
     explicit RateDesk(Member self);
 
     void setLimits(const std::map<Core::TeamName, Sessions::TeamLimits> &, Core::Instant now);
-    /// Sets the proxies that may own rates; \a proxies also counts those that are silent.
+    /// Sets the proxies that may own rates. The even parts are for \a proxies, which also counts
+    /// those that are silent, since they may go on spending theirs.
     void setMembers(std::vector<Member>, std::size_t proxies, Core::Instant now);
     void setContact(Contact contact) { contact_ = contact; }
 
@@ -120,6 +121,7 @@
 
     [[nodiscard]] double evenFraction(const Sessions::TeamLimits &) const;
     [[nodiscard]] Sessions::TeamLimits standInLimits(const Sessions::TeamLimits &) const;
+    /// Divides a team's limits between the owner, this proxy's even part and the stand-in.
     void applyParts(const Core::TeamName &, Account &, Core::Instant now);
     [[nodiscard]] bool hasRole(const Core::TeamName &, Role);
     [[nodiscard]] Owned &ownedOf(const Core::TeamName &, const Account &, Core::Instant now);
--- a/Libraries/Rates/StandInPool.cpp
+++ b/Libraries/Rates/StandInPool.cpp
@@ -64,7 +64,7 @@
 
 Core::Duration StandInPool::waitForNext() const
 {
-    return hasBase_ ? std::min(base_.waitForNext(), poolWait) : poolWait;
+    return hasBase_ ? std::min(base_.waitForNext(), standInRetry) : standInRetry;
 }
 
 } // namespace Chervilpin::Rates
--- a/Libraries/Rates/Timing.h
+++ b/Libraries/Rates/Timing.h
@@ -26,9 +26,9 @@
 /// count a team's operations.
 constexpr Core::Duration grantLifetime{200};
 /// When a caller may come back whose team was removed.
-constexpr Core::Duration nobodyRetry{500};
-/// When a caller may come back whose team's owner is out of reach.
-constexpr Core::Duration poolWait{500};
+constexpr Core::Duration removedTeamRetry{500};
+/// When a caller may come back who was refused by a stand-in.
+constexpr Core::Duration standInRetry{500};
 /// How fast a surge is noticed: well within the 5 s over which the users count.
 constexpr Core::Duration surgeSpan{1'000};
 
--- a/Services/SessionProxy/NodeTiming.h
+++ b/Services/SessionProxy/NodeTiming.h
@@ -14,7 +14,8 @@
 constexpr Core::Duration fleetWatch{4'000};
 constexpr Core::Duration configurationWatch{9'000};
 constexpr Core::Duration directoryWatch{9'000};
-/// How often shares of teams' rates and of connections are taken over from the fleet.
+/// How often the engines tell each other what changes slowly: the number of members, the version of
+/// the configuration, whether this proxy sees enough of the fleet.
 constexpr Core::Duration exchangeInterval{500};
 /// Open transactions end this much before half of the time to stop.
 constexpr Core::Duration transactionMargin{200};
