--- a/Libraries/Configuration/LogCodec.cpp
+++ b/Libraries/Configuration/LogCodec.cpp
@@ -3,13 +3,13 @@
 #include <Configuration/Credential.h>
 #include <Configuration/FieldReader.h>
 #include <Configuration/ResourceCodec.h>
+#include <Core/Hash.h>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
 #include <cstdio>
 #include <limits>
-#include <xxhash.h>
 
 namespace Chervilpin::Configuration {
 
@@ -175,7 +175,7 @@
 
 std::uint64_t extendDigest(std::uint64_t previous, std::string_view text)
 {
-    return XXH64(text.data(), text.size(), previous);
+    return Core::hashOf(text, previous);
 }
 
 std::string changeKey(Revision revision)
--- a/Libraries/Configuration/Manager.cpp
+++ b/Libraries/Configuration/Manager.cpp
@@ -1,7 +1,8 @@
 #include <Configuration/Manager.h>
 
+#include <Core/Rank.h>
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace Chervilpin::Configuration {
 
@@ -10,13 +11,6 @@
 constexpr Core::Duration askAroundFor(10'000); ///< How long a starting node asks peers.
 constexpr std::size_t maxReportedForks = 64;
 
-std::uint64_t watcherRank(const Core::NodeName &node, const Core::DataCentreName &dataCentre)
-{
-    const std::string &name = node.value();
-    const std::string &place = dataCentre.value();
-    return XXH64(name.data(), name.size(), XXH64(place.data(), place.size(), 0));
-}
-
 } // namespace
 
 Manager::Manager(Settings settings, std::uint64_t seed)
@@ -79,10 +73,10 @@
 /// Every node ranks the live nodes of its data centre alike, so that about as many as needed watch.
 bool Manager::ranksAsWatcher(std::span<const PeerNode> peers) const
 {
-    const auto own = watcherRank(settings_.self, settings_.dataCentre);
+    const auto own = Core::rankOf(settings_.self, settings_.dataCentre.view());
     const auto before = std::ranges::count_if(peers, [&](const PeerNode &peer) {
         return peer.dataCentre == settings_.dataCentre && peer.name != settings_.self
-            && watcherRank(peer.name, peer.dataCentre) < own;
+            && Core::rankOf(peer.name, peer.dataCentre.view()) < own;
     });
     return static_cast<std::uint32_t>(before) < settings_.watchersPerDataCentre;
 }
--- a/Libraries/Core/Milliseconds.h
+++ b/Libraries/Core/Milliseconds.h
@@ -15,6 +15,11 @@
     { }
 
     [[nodiscard]] constexpr std::int64_t milliseconds() const { return milliseconds_; }
+    [[nodiscard]] constexpr double seconds() const
+    {
+        constexpr double millisecondsPerSecond = 1'000.0;
+        return static_cast<double>(milliseconds_) / millisecondsPerSecond;
+    }
 
     constexpr auto operator<=>(const Duration &) const = default;
 
--- a/Libraries/Failover/Rendezvous.cpp
+++ b/Libraries/Failover/Rendezvous.cpp
@@ -1,10 +1,11 @@
 #include <Failover/Rendezvous.h>
 
+#include <Core/Hash.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
-#include <xxhash.h>
 
 namespace Chervilpin::Failover {
 
@@ -19,7 +20,7 @@
 std::uint64_t hashOf(const Core::GroupName &group, const Core::NodeName &node)
 {
     const std::string text = group.value() + '\n' + node.value();
-    return XXH64(text.data(), text.size(), 0);
+    return Core::hashOf(text);
 }
 
 std::vector<Ranked> ranked(const Core::GroupName &group, const std::vector<PeerNode> &nodes)
--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -38,7 +38,7 @@
         contactSince_ = now;
     lastAnswerAt_ = now;
     storeSeenAt_ = std::max(storeSeenAt_, askedAt);
-    if (view_.isMember(self_.node, self_.boot)) {
+    if (view_.isMember(self_.node, self_.incarnation)) {
         for (const auto &[group, primary] : view_.primaries())
             confirmGroup(group, askedAt, now);
     }
@@ -185,7 +185,7 @@
     learnFrom(message, now);
     Exchange &exchange = exchanges_[message.node];
     if (message.wantsDetails)
-        exchange.detailsUntil = now + beatInterval * 2;
+        exchange.detailsUntil = now + detailsTime;
     const bool isDifferent =
         message.recordsSum != view_.recordsSum() && now >= exchange.differedAt + differenceInterval;
     if (isDifferent)
@@ -213,7 +213,8 @@
             nextReview_ = now;
     }
     announceChanged(now);
-    if (!message.confirmedAge || !message.isReceiverMember || message.echoBoot != self_.boot)
+    if (!message.confirmedAge || !message.isReceiverMember
+        || message.echoIncarnation != self_.incarnation)
         return;
     // The sender's message left at this moment of the own clock or later.
     const Core::Instant leftAt = message.echoSentAt + message.echoHeld;
@@ -286,7 +287,7 @@
     isLeaving_ = true;
     sendToContacts(Reply::NotWanted, now);
     const auto *self = view_.findMember(self_.node);
-    if (self && self->record.boot == self_.boot)
+    if (self && self->record.incarnation == self_.incarnation)
         actions_.emplace_back(DeleteRecord{memberKey(self_.node), self->revision});
     const auto &leader = view_.leader();
     if (isLeader())
@@ -335,7 +336,7 @@
 {
     const auto &leader = view_.leader();
     return !isDeposed_ && leader && leader->record.node == self_.node
-        && leader->record.boot == self_.boot;
+        && leader->record.incarnation == self_.incarnation;
 }
 
 std::uint64_t FleetEngine::newestConfigurationOfPeers() const
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -16,7 +16,7 @@
 struct FleetSettings
 {
     Core::NodeName node;
-    Boot boot = 0;
+    Core::Incarnation incarnation = 0;
     Core::DataCentreName dataCentre;
     std::string address; ///< IP:port for messages of other proxies.
 };
@@ -97,7 +97,7 @@
     /// A member that is marked as retired.
     struct Retirement
     {
-        Boot boot = 0;
+        Core::Incarnation incarnation = 0;
         Core::Instant since; ///< When this proxy saw the mark.
         Core::Instant removalAskedAt;
     };
@@ -124,7 +124,7 @@
     void order(OrderPromotion, Core::Instant now);
     void giveOrders(WriteOutcome, Revision, Core::Instant now);
     [[nodiscard]] bool isLeaderGone(Core::Instant now) const;
-    [[nodiscard]] bool isInTouch(Core::Instant now) const;
+    [[nodiscard]] bool hasStableContact(Core::Instant now) const;
     [[nodiscard]] std::size_t heardCount(Core::Instant now) const;
 
     void lead(Core::Instant now);
@@ -151,6 +151,8 @@
                                           Core::Instant now) const;
     [[nodiscard]] bool isReported(const PrimaryRecord &, const GroupState &, Revision) const;
     void membersLearned(Core::Instant now);
+    void forgetStrangers(Core::Instant now);
+    void greetLeader(Core::Instant now);
     void findContacts();
     void noteRetirements(Core::Instant now);
     [[nodiscard]] bool isLapsed(const Core::NodeName &, Core::Instant now) const;
@@ -162,11 +164,10 @@
     std::map<Core::GroupName, GroupState> groups_;
     std::map<Core::GroupName, PromotionPlan> plans_;
     std::map<Core::NodeName, Exchange> exchanges_;
-    std::vector<Core::NodeName> contacts_;  ///< Other proxies that are to be heard regularly.
-    std::vector<MemberRecord> toldMembers_; ///< As of the last MembersChanged.
-    std::size_t toldKnown_ = 0;
+    std::vector<Core::NodeName> contacts_; ///< Other proxies that are to be heard regularly.
+    std::uint64_t toldChange_ = 0;         ///< Of the members, as of the last MembersChanged.
     Core::NodeName toldLeader_;
-    Boot toldLeaderBoot_ = 0;
+    Core::Incarnation toldLeaderIncarnation_ = 0;
     Core::Instant leaderSince_;  ///< When this proxy learned of the leader.
     std::size_t nextHelper_ = 0; ///< An index of the members, by name.
     std::uint64_t configurationVersion_ = 0;
--- a/Libraries/Fleet/FleetEngineBeat.cpp
+++ b/Libraries/Fleet/FleetEngineBeat.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 /// Of the order in which members are neighbours.
-constexpr std::string_view neighbourDuty = "heartbeat";
+constexpr std::string_view neighbourOrder = "heartbeat";
 } // namespace
 
 void FleetEngine::beat(Core::Instant now)
@@ -36,26 +36,40 @@
 
 void FleetEngine::membersLearned(Core::Instant now)
 {
+    if (toldChange_ == view_.membersChange())
+        return;
+    toldChange_ = view_.membersChange();
     findContacts();
     noteRetirements(now);
-    std::vector<MemberRecord> active;
+    forgetStrangers(now);
+    MembersChanged changed;
+    changed.known = view_.members().size();
     for (const auto &[node, member] : view_.members()) {
         if (!member.record.isRetired)
-            active.push_back(member.record);
+            changed.members.push_back(member.record);
     }
-    const auto isSame = [](const MemberRecord &a, const MemberRecord &b) {
-        return a.node == b.node && a.boot == b.boot && a.address == b.address;
+    actions_.emplace_back(std::move(changed));
+    greetLeader(now);
+}
+
+void FleetEngine::forgetStrangers(Core::Instant now)
+{
+    const auto isMember = [&](const Core::NodeName &node) {
+        return view_.findMember(node) != nullptr;
     };
-    if (toldKnown_ != view_.members().size() || !std::ranges::equal(active, toldMembers_, isSame)) {
-        toldMembers_ = active;
-        toldKnown_ = view_.members().size();
-        actions_.emplace_back(MembersChanged{std::move(active), toldKnown_});
-    }
+    peers_.forget(isMember, now - strangerMemory);
+    std::erase_if(exchanges_, [&](const auto &entry) { return !isMember(entry.first); });
+}
+
+void FleetEngine::greetLeader(Core::Instant now)
+{
     const auto &leader = view_.leader();
-    if (!leader || (leader->record.node == toldLeader_ && leader->record.boot == toldLeaderBoot_))
+    if (!leader
+        || (leader->record.node == toldLeader_
+            && leader->record.incarnation == toldLeaderIncarnation_))
         return;
     toldLeader_ = leader->record.node;
-    toldLeaderBoot_ = leader->record.boot;
+    toldLeaderIncarnation_ = leader->record.incarnation;
     leaderSince_ = now;
     log("leader_learned",
         {{"node", toldLeader_.value()}, {"revision", std::to_string(leader->revision)}});
@@ -76,8 +90,8 @@
         return;
     }
     order.push_back(self_.node);
-    std::ranges::sort(order, {},
-                      [](const Core::NodeName &node) { return Core::rankOf(node, neighbourDuty); });
+    std::ranges::sort(
+        order, {}, [](const Core::NodeName &node) { return Core::rankOf(node, neighbourOrder); });
     const auto own = static_cast<std::size_t>(std::ranges::find(order, self_.node) - order.begin());
     for (std::size_t distance = 1; distance <= neighboursOnASide; ++distance) {
         contacts_.push_back(order[(own + distance) % order.size()]);
@@ -125,14 +139,14 @@
 {
     Heartbeat message;
     message.node = self_.node;
-    message.boot = self_.boot;
+    message.incarnation = self_.incarnation;
     message.sentAt = now;
     message.wantsReply = reply == Reply::Wanted;
     message.wantsDetails = detail == Detail::All;
     message.configurationVersion = configurationVersion_;
     message.recordsSum = view_.recordsSum();
     if (const auto *peer = peers_.find(receiver.node)) {
-        message.echoBoot = peer->last.boot;
+        message.echoIncarnation = peer->last.incarnation;
         message.echoSentAt = peer->last.sentAt;
         message.echoHeld = now - peer->heardAt;
     }
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -11,7 +11,7 @@
 {
     if (registration_ != 0)
         return;
-    MemberRecord record{self_.node, self_.boot, self_.dataCentre, self_.address, false, {}};
+    MemberRecord record{self_.node, self_.incarnation, self_.dataCentre, self_.address, false, {}};
     for (const auto &[group, state] : groups_) {
         if (state.released != 0)
             record.adopted[group] = state.released;
@@ -27,7 +27,7 @@
     for (const auto &[node, member] : view_.members())
         memberSince_.try_emplace(node, now);
     std::erase_if(memberSince_, [&](const auto &entry) { return !view_.findMember(entry.first); });
-    if (view_.isMember(self_.node, self_.boot))
+    if (view_.isMember(self_.node, self_.incarnation))
         return;
     // A refused or unanswered registration shows in the records, and is tried again after a while.
     const bool isDue = registeredAt_ == Core::Instant() || now >= registeredAt_ + beatInterval;
@@ -42,11 +42,10 @@
     return static_cast<std::size_t>(count) + 1;
 }
 
-bool FleetEngine::isInTouch(Core::Instant now) const
+bool FleetEngine::hasStableContact(Core::Instant now) const
 {
     return now >= contactSince_ + peerSilence && now >= startedAt_ + peerSilence
-        && (now < majoritySeenAt_ + reviewInterval * 2
-            || now >= majoritySeenAt_ + minorityPatience);
+        && (now < majoritySeenAt_ + majorityMemory || now >= majoritySeenAt_ + minorityPatience);
 }
 
 bool FleetEngine::isLeaderGone(Core::Instant now) const
@@ -56,8 +55,8 @@
         return true;
     const auto &record = leader->record;
     if (record.node == self_.node)
-        return record.boot != self_.boot;
-    if (!view_.isMember(record.node, record.boot))
+        return record.incarnation != self_.incarnation;
+    if (!view_.isMember(record.node, record.incarnation))
         return true;
     const auto *peer = peers_.find(record.node);
     // A new leader is yet to send its first heartbeat.
@@ -65,7 +64,7 @@
         return false;
     // Silence of the leader means little just after this proxy itself was cut off.
     if (!peer || now >= peer->heardAt + peerSilence)
-        return isInTouch(now);
+        return hasStableContact(now);
     const auto &age = peer->last.confirmedAge;
     return age && *age + (now - peer->heardAt) > leaderStoreSilence;
 }
@@ -73,8 +72,8 @@
 void FleetEngine::reviewLeadership(Core::Instant now)
 {
     const bool hasStore = now < storeSeenAt_ + leaderStoreSilence;
-    if (isLeader() || leaderClaim_ != 0 || !hasStore || !view_.isMember(self_.node, self_.boot)
-        || !isLeaderGone(now)) {
+    if (isLeader() || leaderClaim_ != 0 || !hasStore
+        || !view_.isMember(self_.node, self_.incarnation) || !isLeaderGone(now)) {
         if (!isLeaderGone(now))
             claimSentAt_ = Core::Instant();
         return;
@@ -92,14 +91,14 @@
 void FleetEngine::claimLeadership(Core::Instant now)
 {
     const auto &leader = view_.leader();
-    const bool isTakeOver =
-        leader && (leader->record.node != self_.node || leader->record.boot != self_.boot);
+    const bool isTakeOver = leader
+        && (leader->record.node != self_.node || leader->record.incarnation != self_.incarnation);
     // A leader of an earlier life of this process can't order any more.
     if (isTakeOver && leader->record.node != self_.node)
         mayOrderFrom_ = now + orderEnd;
     leaderClaim_ = nextCall_++;
     claimSentAt_ = now + beatInterval;
-    write(leaderClaim_, LeaderRecord{self_.node, self_.boot, ++leaderAttempt_},
+    write(leaderClaim_, LeaderRecord{self_.node, self_.incarnation, ++leaderAttempt_},
           leader ? leader->revision : 0);
 }
 
@@ -116,7 +115,7 @@
 void FleetEngine::giveOrders(WriteOutcome outcome, Revision revision, Core::Instant now)
 {
     if (outcome == WriteOutcome::Done)
-        view_.wrote(LeaderRecord{self_.node, self_.boot, leaderAttempt_}, revision);
+        view_.wrote(LeaderRecord{self_.node, self_.incarnation, leaderAttempt_}, revision);
     for (auto &promotion : std::exchange(orders_, {})) {
         const auto plan = plans_.find(promotion.group);
         if (outcome != WriteOutcome::Done) {
@@ -147,7 +146,8 @@
 
 void FleetEngine::retireSilent(Core::Instant now)
 {
-    if (now < leadingSince_ + retireAfter || now < contactSince_ + retireAfter || !isInTouch(now))
+    if (now < leadingSince_ + retireAfter || now < contactSince_ + retireAfter
+        || !hasStableContact(now))
         return;
     for (const auto &[node, member] : view_.members()) {
         if (node == self_.node || peers_.isHeard(node, retireAfter, now))
@@ -175,11 +175,12 @@
     // Every proxy does, so that a new leader needn't wait anew.
     std::erase_if(retirements_, [&](const auto &entry) {
         const auto *member = view_.findMember(entry.first);
-        return !member || !member->record.isRetired || member->record.boot != entry.second.boot;
+        return !member || !member->record.isRetired
+            || member->record.incarnation != entry.second.incarnation;
     });
     for (const auto &[node, member] : view_.members()) {
         if (member.record.isRetired)
-            retirements_.try_emplace(node, Retirement{member.record.boot, now, {}});
+            retirements_.try_emplace(node, Retirement{member.record.incarnation, now, {}});
     }
 }
 
@@ -286,7 +287,7 @@
     // What was suspected in a cut is judged anew after it.
     if (isStoreLost_ || now < contactSince_ + settleTime || now < startedAt_ + settleTime)
         return false;
-    if (now >= majoritySeenAt_ + reviewInterval * 2 && now < majoritySeenAt_ + minorityPatience)
+    if (now >= majoritySeenAt_ + majorityMemory && now < majoritySeenAt_ + minorityPatience)
         return false;
     std::size_t suspects = state.health == Health::Suspect ? 1 : 0;
     std::size_t healthy = state.health == Health::Healthy ? 1 : 0;
@@ -314,7 +315,7 @@
     if (written != member.adopted.end() && written->second >= revision)
         return true;
     const auto *peer = peers_.find(member.node);
-    if (!peer || peer->last.boot != member.boot)
+    if (!peer || peer->last.incarnation != member.incarnation)
         return false;
     const auto report = std::ranges::find(peer->last.primaries, group, &PrimaryReport::group);
     return report != peer->last.primaries.end() && report->adopted >= revision;
--- a/Libraries/Fleet/FleetView.cpp
+++ b/Libraries/Fleet/FleetView.cpp
@@ -1,7 +1,7 @@
 #include <Fleet/FleetView.h>
 
+#include <Core/Hash.h>
 #include <Core/Overloaded.h>
-#include <Core/Rank.h>
 
 #include <set>
 
@@ -12,6 +12,7 @@
     // Primaries are never deleted, and another proxy may have told of a newer one than the list.
     members_.clear();
     leader_.reset();
+    ++membersChange_;
     return apply(objects);
 }
 
@@ -37,6 +38,10 @@
     const auto *known = findPrimary(primary.record.group);
     if (known && known->revision >= primary.revision)
         return false;
+    // A sum of well mixed values doesn't depend on the order.
+    if (known)
+        recordsSum_ -= Core::hashOf(primary.record.group.view(), known->revision);
+    recordsSum_ += Core::hashOf(primary.record.group.view(), primary.revision);
     primaries_[primary.record.group] = primary;
     return true;
 }
@@ -50,12 +55,16 @@
 {
     std::visit(Core::Overloaded{[&](const MemberRecord &member) {
                                     auto &known = members_[member.node];
-                                    if (known.revision < revision)
-                                        known = {member, revision};
+                                    if (known.revision >= revision)
+                                        return;
+                                    known = {member, revision};
+                                    ++membersChange_;
                                 },
                                 [&](const LeaderRecord &leader) {
-                                    if (!leader_ || leader_->revision < revision)
-                                        leader_ = {leader, revision};
+                                    if (leader_ && leader_->revision >= revision)
+                                        return;
+                                    leader_ = {leader, revision};
+                                    ++membersChange_;
                                 },
                                 [&](const PrimaryRecord &primary) {
                                     learn({primary, revision});
@@ -65,6 +74,7 @@
 
 void FleetView::remove(const std::string &key, Revision revision)
 {
+    ++membersChange_;
     std::erase_if(members_, [&](const auto &entry) {
         return memberKey(entry.first) == key && entry.second.revision <= revision;
     });
@@ -84,19 +94,10 @@
     return found == primaries_.end() ? nullptr : &found->second;
 }
 
-std::uint64_t FleetView::recordsSum() const
-{
-    // A sum of well mixed values doesn't depend on the order.
-    std::uint64_t sum = 0;
-    for (const auto &[group, primary] : primaries_)
-        sum += Core::rankOf(Core::NodeName(group.view()), std::to_string(primary.revision));
-    return sum;
-}
-
-bool FleetView::isMember(const Core::NodeName &node, Boot boot) const
+bool FleetView::isMember(const Core::NodeName &node, Core::Incarnation incarnation) const
 {
     const auto *member = findMember(node);
-    return member && member->record.boot == boot && !member->record.isRetired;
+    return member && member->record.incarnation == incarnation && !member->record.isRetired;
 }
 
 } // namespace Chervilpin::Fleet
--- a/Libraries/Fleet/FleetView.h
+++ b/Libraries/Fleet/FleetView.h
@@ -41,9 +41,11 @@
     [[nodiscard]] const Stored<MemberRecord> *findMember(const Core::NodeName &) const;
     [[nodiscard]] const Stored<PrimaryRecord> *findPrimary(const Core::GroupName &) const;
     /// Over the revisions of all primary records; equal if the records are the same.
-    [[nodiscard]] std::uint64_t recordsSum() const;
+    [[nodiscard]] std::uint64_t recordsSum() const { return recordsSum_; }
+    /// Grows with each change of the members or the leader.
+    [[nodiscard]] std::uint64_t membersChange() const { return membersChange_; }
     /// Whether this life of the node is a member that may hold rights.
-    [[nodiscard]] bool isMember(const Core::NodeName &, Boot) const;
+    [[nodiscard]] bool isMember(const Core::NodeName &, Core::Incarnation) const;
 
 private:
     void put(const Record &, Revision);
@@ -52,6 +54,8 @@
     Members members_;
     Primaries primaries_;
     std::optional<Stored<LeaderRecord>> leader_;
+    std::uint64_t recordsSum_ = 0;
+    std::uint64_t membersChange_ = 0;
 };
 
 } // namespace Chervilpin::Fleet
--- a/Libraries/Fleet/Heartbeat.h
+++ b/Libraries/Fleet/Heartbeat.h
@@ -34,10 +34,11 @@
 struct Heartbeat
 {
     Core::NodeName node;
-    Boot boot = 0;
+    Core::Incarnation incarnation = 0;
     Core::Instant sentAt;
 
-    Boot echoBoot = 0;        ///< The receiver's boot in its last heartbeat; 0 if none came.
+    Core::Incarnation echoIncarnation =
+        0;                    ///< The receiver's incarnation in its last heartbeat; 0 if none came.
     Core::Instant echoSentAt; ///< The receiver's sentAt in it.
     Core::Duration echoHeld;  ///< How long ago it came.
 
--- a/Libraries/Fleet/PeerTable.cpp
+++ b/Libraries/Fleet/PeerTable.cpp
@@ -5,14 +5,22 @@
 bool PeerTable::heard(const Heartbeat &message, Core::Instant now)
 {
     auto &peer = peers_[message.node];
-    if (message.boot < peer.last.boot)
+    if (message.incarnation < peer.last.incarnation)
         return false;
-    if (message.boot == peer.last.boot && message.sentAt < peer.last.sentAt)
+    if (message.incarnation == peer.last.incarnation && message.sentAt < peer.last.sentAt)
         return false;
     peer = {message, now};
     return true;
 }
 
+void PeerTable::forget(const std::function<bool(const Core::NodeName &)> &isKept,
+                       Core::Instant oldest)
+{
+    std::erase_if(peers_, [&](const auto &entry) {
+        return entry.second.heardAt < oldest && !isKept(entry.first);
+    });
+}
+
 const PeerTable::Peer *PeerTable::find(const Core::NodeName &node) const
 {
     const auto found = peers_.find(node);
--- a/Libraries/Fleet/PeerTable.h
+++ b/Libraries/Fleet/PeerTable.h
@@ -3,6 +3,7 @@
 #include <Core/Milliseconds.h>
 #include <Fleet/Heartbeat.h>
 
+#include <functional>
 #include <map>
 
 namespace Chervilpin::Fleet {
@@ -20,6 +21,9 @@
     /// False for a message of an earlier life, or one that was overtaken by a later one.
     bool heard(const Heartbeat &, Core::Instant now);
 
+    /// Drops those that were last heard before \a oldest and that \a isKept doesn't name.
+    void forget(const std::function<bool(const Core::NodeName &)> &isKept, Core::Instant oldest);
+
     [[nodiscard]] const Peer *find(const Core::NodeName &) const;
     /// Whether this life of the node was heard within \a span.
     [[nodiscard]] bool isHeard(const Core::NodeName &, Core::Duration span,
--- a/Libraries/Fleet/Records.cpp
+++ b/Libraries/Fleet/Records.cpp
@@ -34,7 +34,7 @@
     for (const auto &[group, revision] : record.adopted)
         adopted[group.value()] = revision;
     return {{"node", record.node.value()},
-            {"boot", record.boot},
+            {"incarnation", record.incarnation},
             {"data_centre", record.dataCentre.value()},
             {"address", record.address},
             {"retired", record.isRetired},
@@ -43,7 +43,9 @@
 
 json::object toJson(const LeaderRecord &record)
 {
-    return {{"node", record.node.value()}, {"boot", record.boot}, {"attempt", record.attempt}};
+    return {{"node", record.node.value()},
+            {"incarnation", record.incarnation},
+            {"attempt", record.attempt}};
 }
 
 json::object toJson(const PrimaryRecord &record)
@@ -63,7 +65,7 @@
 {
     MemberRecord record;
     record.node = Core::NodeName(text(object, "node"));
-    record.boot = object.at("boot").to_number<Boot>();
+    record.incarnation = object.at("incarnation").to_number<Core::Incarnation>();
     record.dataCentre = Core::DataCentreName(text(object, "data_centre"));
     record.address = text(object, "address");
     record.isRetired = object.at("retired").as_bool();
@@ -74,7 +76,8 @@
 
 LeaderRecord readLeader(const json::object &object)
 {
-    return {Core::NodeName(text(object, "node")), object.at("boot").to_number<Boot>(),
+    return {Core::NodeName(text(object, "node")),
+            object.at("incarnation").to_number<Core::Incarnation>(),
             object.at("attempt").to_number<std::uint64_t>()};
 }
 
--- a/Libraries/Fleet/Records.h
+++ b/Libraries/Fleet/Records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Core/Incarnation.h>
 #include <Core/Name.h>
 #include <Core/Result.h>
 
@@ -18,14 +19,12 @@
 
 /// Grows with each change anywhere in the store. 0 means that a record doesn't exist.
 using Revision = std::uint64_t;
-/// Tells the lives of a process on one node apart: the wall clock's milliseconds at its start.
-using Boot = std::uint64_t;
 
 /// One proxy. Written by itself at its start.
 struct MemberRecord
 {
     Core::NodeName node;
-    Boot boot = 0;
+    Core::Incarnation incarnation = 0;
     Core::DataCentreName dataCentre;
     std::string address;    ///< IP:port for messages of other proxies.
     bool isRetired = false; ///< Set by the leader on one that is silent; it gets no new rights.
@@ -37,7 +36,7 @@
 struct LeaderRecord
 {
     Core::NodeName node;
-    Boot boot = 0;
+    Core::Incarnation incarnation = 0;
     std::uint64_t attempt = 0; ///< Differs between writes, so that each has a revision of its own.
 };
 
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -19,6 +19,12 @@
 constexpr std::size_t helpersAsked = 3;
 /// Proxies that know different records tell each other all of theirs this often at most.
 constexpr Core::Duration differenceInterval{250};
+/// A proxy that was asked for details gives them for so long: in its next two heartbeats.
+constexpr Core::Duration detailsTime{2'000};
+/// A majority of contacts that was heard counts for so long: two of the reviews that look for it.
+constexpr Core::Duration majorityMemory{500};
+/// What a proxy that isn't a member said is kept for so long; its record may be about to come.
+constexpr Core::Duration strangerMemory{60'000};
 /// A proxy that can't say whether it is still a member, and hears less than half of its contacts,
 /// acts no more as the owner of teams' rates. Retiring a silent member takes about as long.
 constexpr Core::Duration ownerStoreSilence{5'000};
--- a/Libraries/FleetWire/PeerMessageCodec.cpp
+++ b/Libraries/FleetWire/PeerMessageCodec.cpp
@@ -80,9 +80,9 @@
         return Core::failure(Core::ErrorCode::InvalidArgument, "the heartbeat names no node");
     Fleet::Heartbeat heartbeat;
     heartbeat.node = Core::NodeName(message.node());
-    heartbeat.boot = message.boot();
+    heartbeat.incarnation = message.incarnation();
     heartbeat.sentAt = Core::Instant(static_cast<std::int64_t>(message.sent_at()));
-    heartbeat.echoBoot = message.echo_boot();
+    heartbeat.echoIncarnation = message.echo_incarnation();
     heartbeat.echoSentAt = Core::Instant(static_cast<std::int64_t>(message.echo_sent_at()));
     heartbeat.echoHeld = Core::Duration(message.echo_held_ms());
     if (message.has_confirmed_ms())
@@ -133,9 +133,9 @@
     wire::PeerMessage envelope;
     wire::Heartbeat &message = *envelope.mutable_heartbeat();
     message.set_node(heartbeat.node.value());
-    message.set_boot(heartbeat.boot);
+    message.set_incarnation(heartbeat.incarnation);
     message.set_sent_at(static_cast<std::uint64_t>(heartbeat.sentAt.millisecondsSinceOrigin()));
-    message.set_echo_boot(heartbeat.echoBoot);
+    message.set_echo_incarnation(heartbeat.echoIncarnation);
     message.set_echo_sent_at(
         static_cast<std::uint64_t>(heartbeat.echoSentAt.millisecondsSinceOrigin()));
     message.set_echo_held_ms(static_cast<std::uint32_t>(heartbeat.echoHeld.milliseconds()));
--- a/Libraries/Peer/Message.h
+++ b/Libraries/Peer/Message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Core/Incarnation.h>
 #include <Core/Name.h>
 
 #include <cstdint>
@@ -16,8 +17,7 @@
     Failover = 4,
 };
 
-/// Tells apart the lives of one node name; larger is later.
-using Incarnation = std::uint64_t;
+using Core::Incarnation;
 
 /// A message to another node; the payload is in the module's own protobuf encoding.
 struct Outgoing
--- a/Libraries/Rates/OwnerTable.cpp
+++ b/Libraries/Rates/OwnerTable.cpp
@@ -21,6 +21,9 @@
 {
     members_ = std::move(members);
     found_.clear();
+    dataCentres_.clear();
+    for (const auto &member : members_)
+        dataCentres_[member.address] = member.dataCentre;
 }
 
 const Owners &OwnerTable::ownersOf(const Core::TeamName &team)
@@ -53,6 +56,17 @@
     return owners;
 }
 
+bool OwnerTable::isMember(const Core::NodeName &node) const
+{
+    return std::ranges::find(members_, node, &Member::node) != members_.end();
+}
+
+Core::DataCentreName OwnerTable::dataCentreOf(const std::string &address) const
+{
+    const auto found = dataCentres_.find(address);
+    return found == dataCentres_.end() ? Core::DataCentreName() : found->second;
+}
+
 std::size_t OwnerTable::dataCentreCount() const
 {
     std::set<Core::DataCentreName> seen;
--- a/Libraries/Rates/OwnerTable.h
+++ b/Libraries/Rates/OwnerTable.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Chervilpin::Rates {
@@ -37,6 +38,9 @@
     [[nodiscard]] const Owners &ownersOf(const Core::TeamName &);
     [[nodiscard]] const std::vector<Member> &members() const { return members_; }
     [[nodiscard]] std::size_t dataCentreCount() const;
+    [[nodiscard]] bool isMember(const Core::NodeName &) const;
+    /// Of the member with this address; empty if there is none.
+    [[nodiscard]] Core::DataCentreName dataCentreOf(const std::string &address) const;
 
 private:
     [[nodiscard]] Owners find(const Core::TeamName &) const;
@@ -44,6 +48,7 @@
     Core::DataCentreName dataCentre_;
     std::vector<Member> members_;
     std::map<Core::TeamName, Owners> found_;
+    std::unordered_map<std::string, Core::DataCentreName> dataCentres_; ///< By address.
 };
 
 } // namespace Chervilpin::Rates
--- a/Libraries/Rates/RateDesk.cpp
+++ b/Libraries/Rates/RateDesk.cpp
@@ -26,11 +26,6 @@
 /// A caller waits for so many answers at the most; then this proxy decides alone.
 constexpr unsigned mostUnanswered = 2;
 
-double seconds(Core::Duration span)
-{
-    return static_cast<double>(span.milliseconds()) / 1'000.0;
-}
-
 } // namespace
 
 RateDesk::RateDesk(Member self)
@@ -97,6 +92,7 @@
         membersSince_ = now;
         std::erase_if(owned_,
                       [&](const auto &entry) { return !hasRole(entry.first, Role::Owner); });
+        std::erase_if(silences_, [&](const auto &entry) { return !owners_.isMember(entry.first); });
     }
     for (auto &[team, account] : accounts_)
         applyParts(team, account, now);
@@ -111,40 +107,31 @@
     return contact_ == Contact::Good && owner && owner->node == self_.node;
 }
 
-RateDesk::Owned &RateDesk::ownedOf(const Core::TeamName &team, const Account &account,
-                                   Core::Instant now)
+RateDesk::Owned &RateDesk::ownedOf(const Core::TeamName &team, Account &account, Core::Instant now)
 {
     const auto found = owned_.find(team);
     if (found != owned_.end())
         return found->second;
     Owned &owned = owned_[team];
-    owned.bucket.setShare(1 - evenFraction(account.limits), now);
-    owned.bucket.setLimits(account.limits, now);
+    applyParts(team, account, now);
     // The owner before may have spent the burst, so only what came in since then is there.
-    owned.bucket.startWith(1 + owned.bucket.ratePerSecond() * seconds(now - membersSince_));
+    owned.bucket.startWith(1 + owned.bucket.ratePerSecond() * (now - membersSince_).seconds());
     return owned;
 }
 
-Core::DataCentreName RateDesk::dataCentreOf(const std::string &address) const
-{
-    const auto member = std::ranges::find(owners_.members(), address, &Member::address);
-    return member == owners_.members().end() ? Core::DataCentreName() : member->dataCentre;
-}
-
 bool RateDesk::isDesignatedStandIn(const Core::TeamName &team)
 {
     const auto &standIns = owners_.ownersOf(team).standIns;
     return !standIns.empty() && standIns.front().node == self_.node;
 }
 
-StandInPool &RateDesk::poolOf(const Core::TeamName &team, const Account &account, Core::Instant now)
+StandInPool &RateDesk::poolOf(const Core::TeamName &team, Account &account, Core::Instant now)
 {
     const auto found = pools_.find(team);
     if (found != pools_.end())
         return found->second;
     StandInPool &pool = pools_[team];
-    if (isDesignatedStandIn(team))
-        pool.setBase(standInLimits(account.limits), now);
+    applyParts(team, account, now);
     return pool;
 }
 
@@ -183,7 +170,7 @@
         ++grant.operations;
     }
     RateMeter &granted =
-        owned.granted.try_emplace(dataCentreOf(ask.replyTo), grantedSpan).first->second;
+        owned.granted.try_emplace(owners_.dataCentreOf(ask.replyTo), grantedSpan).first->second;
     granted.note(grant.operations, now);
     grant.usualPerSecond = granted.perSecond(now);
 }
@@ -192,7 +179,7 @@
 {
     const auto found = accounts_.find(team);
     if (found == accounts_.end() || found->second.limits.ratePerSecond <= 0) {
-        decisions_.push_back({ticket, true, {}, 0, "no limit"});
+        decisions_.push_back({ticket, true});
         return;
     }
     found->second.demand.note(1, now);
@@ -211,12 +198,19 @@
     return account.evenPart.share() > 0 && account.evenPart.take(now);
 }
 
-void RateDesk::serve(const Core::TeamName &team, Account &account, Core::Instant now)
+std::size_t RateDesk::grantWaiting(Account &account, Core::Instant now)
 {
-    while (!account.waiting.empty() && spend(account, now)) {
-        decisions_.push_back({account.waiting.front(), true, {}, 0, self_.node.value()});
+    std::size_t count = 0;
+    for (; !account.waiting.empty() && spend(account, now); ++count) {
+        decisions_.push_back({account.waiting.front(), true});
         account.waiting.pop_front();
     }
+    return count;
+}
+
+void RateDesk::serve(const Core::TeamName &team, Account &account, Core::Instant now)
+{
+    grantWaiting(account, now);
     if (!account.waiting.empty() && !account.outstanding)
         ask(team, account, now);
 }
@@ -227,19 +221,19 @@
     return found != silences_.end() && now < found->second.until;
 }
 
-std::pair<Role, Member> RateDesk::chooseAsked(const Core::TeamName &team, const Account &account,
-                                              Core::Instant now)
+std::pair<Role, const Member *> RateDesk::chooseAsked(const Core::TeamName &team,
+                                                      const Account &account, Core::Instant now)
 {
     if (account.unanswered >= mostUnanswered)
-        return {Role::StandIn, self_};
+        return {Role::StandIn, &self_};
     const Owners &owners = owners_.ownersOf(team);
     if (owners.owner && !isSilent(owners.owner->node, now))
-        return {Role::Owner, *owners.owner};
+        return {Role::Owner, &*owners.owner};
     for (const auto &standIn : owners.standIns) {
         if (!isSilent(standIn.node, now))
-            return {Role::StandIn, standIn};
+            return {Role::StandIn, &standIn};
     }
-    return {Role::StandIn, self_};
+    return {Role::StandIn, &self_};
 }
 
 void RateDesk::ask(const Core::TeamName &team, Account &account, Core::Instant now)
@@ -253,17 +247,17 @@
     ask.needed = static_cast<std::uint32_t>(account.waiting.size());
     if (role == Role::Owner)
         ask.ahead =
-            static_cast<std::uint32_t>(account.demand.perSecond(now) * seconds(aheadOfNeed));
-    else if (to.node == self_.node)
+            static_cast<std::uint32_t>(account.demand.perSecond(now) * aheadOfNeed.seconds());
+    else if (to->node == self_.node)
         ask.usualPerSecond = account.granted.perSecond(now);
     else
         ask.usualPerSecond = account.usualPerSecond;
-    account.outstanding = Outstanding{ask.id, role, to.node, ask.needed, now};
+    account.outstanding = Outstanding{ask.id, role, to->node, ask.needed, now};
     asking_.insert(team);
-    if (to.node == self_.node)
+    if (to->node == self_.node)
         granted(asked(ask, now), now);
     else
-        asks_.push_back({to.address, std::move(ask)});
+        asks_.push_back({to->address, std::move(ask)});
 }
 
 void RateDesk::granted(const Grant &grant, Core::Instant now)
@@ -293,12 +287,7 @@
     account.heldUntil = asked.askedAt + grantLifetime;
     const std::size_t lacking =
         asked.needed > grant.operations ? asked.needed - grant.operations : 0;
-    const std::size_t before = account.waiting.size();
-    while (!account.waiting.empty() && spend(account, now)) {
-        decisions_.push_back({account.waiting.front(), true, {}, 0, grant.from.value()});
-        account.waiting.pop_front();
-    }
-    const std::size_t served = before - account.waiting.size();
+    const std::size_t served = grantWaiting(account, now);
     const std::size_t unserved = asked.needed > served ? asked.needed - served : 0;
     refuse(account, std::min(lacking, unserved), grant.retryAfter, grant.from.value());
     serve(grant.team, account, now);
@@ -320,9 +309,10 @@
                       const std::string &decidedBy)
 {
     // Those refused together are told to come back one after the other, as the rate allows.
-    constexpr double second = 1'000.0;
+    constexpr double millisecondsPerSecond = 1'000.0;
     const double rate = account.limits.ratePerSecond;
-    const Core::Duration gap(rate > 0 ? static_cast<std::int64_t>(std::ceil(second / rate)) : 0);
+    const Core::Duration gap(
+        rate > 0 ? static_cast<std::int64_t>(std::ceil(millisecondsPerSecond / rate)) : 0);
     Core::Duration wait = retryAfter;
     for (std::size_t i = 0; i < count && !account.waiting.empty(); ++i) {
         decisions_.push_back({account.waiting.front(), false, wait, rate, decidedBy});
--- a/Libraries/Rates/RateDesk.h
+++ b/Libraries/Rates/RateDesk.h
@@ -24,9 +24,10 @@
 {
     Ticket ticket = 0;
     bool isGranted = false;
-    Core::Duration retryAfter; ///< If not granted.
-    double ratePerSecond = 0;  ///< Of the team.
-    std::string decidedBy;     ///< The node of the owner, or why none was asked.
+    // If not granted:
+    Core::Duration retryAfter;
+    double ratePerSecond = 0; ///< Of the team.
+    std::string decidedBy;    ///< The node of the owner, or why none was asked.
 };
 
 struct AddressedAsk
@@ -124,17 +125,18 @@
     /// Divides a team's limits between the owner, this proxy's even part and the stand-in.
     void applyParts(const Core::TeamName &, Account &, Core::Instant now);
     [[nodiscard]] bool hasRole(const Core::TeamName &, Role);
-    [[nodiscard]] Owned &ownedOf(const Core::TeamName &, const Account &, Core::Instant now);
-    [[nodiscard]] StandInPool &poolOf(const Core::TeamName &, const Account &, Core::Instant now);
+    [[nodiscard]] Owned &ownedOf(const Core::TeamName &, Account &, Core::Instant now);
+    [[nodiscard]] StandInPool &poolOf(const Core::TeamName &, Account &, Core::Instant now);
     void grantAsOwner(const Ask &, Owned &, Grant &, Core::Instant now);
     [[nodiscard]] bool isDesignatedStandIn(const Core::TeamName &);
-    [[nodiscard]] Core::DataCentreName dataCentreOf(const std::string &address) const;
     [[nodiscard]] static bool spend(Account &, Core::Instant now);
+    /// Grants what waits as far as there is something to spend; returns how many.
+    std::size_t grantWaiting(Account &, Core::Instant now);
     void serve(const Core::TeamName &, Account &, Core::Instant now);
     void ask(const Core::TeamName &, Account &, Core::Instant now);
     /// Whom to ask: the owner, else the stand-in, else this proxy itself.
-    [[nodiscard]] std::pair<Role, Member> chooseAsked(const Core::TeamName &, const Account &,
-                                                      Core::Instant now);
+    [[nodiscard]] std::pair<Role, const Member *> chooseAsked(const Core::TeamName &,
+                                                              const Account &, Core::Instant now);
     [[nodiscard]] bool isSilent(const Core::NodeName &, Core::Instant now) const;
     void avoid(const Core::TeamName &, const Outstanding &, Core::Duration, const char *what,
                Core::Instant now);
--- a/Libraries/Rates/RateMeter.cpp
+++ b/Libraries/Rates/RateMeter.cpp
@@ -16,8 +16,7 @@
 
 double RateMeter::weightAt(Core::Instant now) const
 {
-    const auto passed = static_cast<double>((now - at_).milliseconds());
-    return weight_ * std::exp(-passed / static_cast<double>(span_.milliseconds()));
+    return weight_ * std::exp(-(now - at_).seconds() / span_.seconds());
 }
 
 void RateMeter::note(double events, Core::Instant now)
@@ -30,11 +29,9 @@
 
 double RateMeter::perSecond(Core::Instant now) const
 {
-    constexpr double second = 1'000.0;
-    const auto span = static_cast<double>(span_.milliseconds());
-    const auto counted = static_cast<double>(std::max(now - firstAt_, leastTime).milliseconds());
-    const double covered = span * (1 - std::exp(-counted / span));
-    return weightAt(now) * second / covered;
+    const double counted = std::max(now - firstAt_, leastTime).seconds();
+    const double covered = span_.seconds() * (1 - std::exp(-counted / span_.seconds()));
+    return weightAt(now) / covered;
 }
 
 } // namespace Chervilpin::Rates
--- a/Libraries/Rates/StandInPool.cpp
+++ b/Libraries/Rates/StandInPool.cpp
@@ -30,7 +30,6 @@
 
 void StandInPool::refill(double perSecond, Core::Instant now)
 {
-    constexpr double second = 1'000.0;
     if (now >= usedAt_ + poolMemory) {
         usualPerSecond_ = 0;
         tokens_ = 1;
@@ -38,7 +37,8 @@
     }
     usualPerSecond_ = std::max(usualPerSecond_, perSecond);
     const double rate = usualPerSecond_ * usualPart;
-    tokens_ += rate * static_cast<double>((now - usedAt_).milliseconds()) / second;
+    tokens_ += rate * (now - usedAt_).seconds();
+    // What isn't used is kept for a second.
     tokens_ = std::min(tokens_, std::max(1.0, rate));
     usedAt_ = now;
 }
--- a/Libraries/Rates/TeamRate.cpp
+++ b/Libraries/Rates/TeamRate.cpp
@@ -12,11 +12,6 @@
 /// A share of a small burst is rounded up to one operation, or the team could never start one.
 constexpr double leastCapacity = 1.0;
 
-double seconds(Core::Duration span)
-{
-    return static_cast<double>(span.milliseconds()) / 1'000.0;
-}
-
 } // namespace
 
 double TeamRate::capacity() const
@@ -47,7 +42,7 @@
 void TeamRate::refill(Core::Instant now)
 {
     if (now > refilledAt_) {
-        tokens_ += limits_.ratePerSecond * share_ * seconds(now - refilledAt_);
+        tokens_ += limits_.ratePerSecond * share_ * (now - refilledAt_).seconds();
         refilledAt_ = now;
     }
     tokens_ = std::min(tokens_, capacity());
--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -2,6 +2,7 @@
 
 #include <Core/LogMark.h>
 #include <Core/Milliseconds.h>
+#include <Core/Pace.h>
 #include <Sessions/Actions.h>
 #include <Sessions/FreshnessLedger.h>
 #include <Sessions/RoutingTable.h>
@@ -50,18 +51,12 @@
     SessionId session = 0;
     bool isInTransaction = false;
     Core::Instant since; ///< Of the state.
-};
-
-/// Paces how often an idle connection makes room for one of another team.
-class EvictionPace
-{
-public:
-    /// Whether one may be closed now, at \a perSecond on the average.
-    [[nodiscard]] bool take(double perSecond, Core::Instant now);
 
-private:
-    double saved_ = 0;
-    Core::Instant savedAt_;
+    void enter(State next, Core::Instant now)
+    {
+        state = next;
+        since = now;
+    }
 };
 
 /// What this proxy knows and holds of one database.
@@ -78,8 +73,8 @@
     Core::Instant troubleSince; ///< Of connections that failed, without an answer since.
     unsigned failures = 0;      ///< Since then.
     Core::Instant openAfter;    ///< No new connection is opened before.
-    EvictionPace evictions;
-    bool isGone = false; ///< Not listed any more; kept while connections are lent.
+    Core::Pace evictions;       ///< Of idle connections, for those of other teams.
+    bool isGone = false;        ///< Not listed any more; kept while connections are lent.
 };
 
 /// What this proxy knows of a group of databases.
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -10,6 +10,7 @@
 
 SessionEngine::SessionEngine(Core::DataCentreName dataCentre, Core::Instant now)
     : dataCentre_(std::move(dataCentre))
+    , table_(std::make_shared<const RoutingTable>())
     , reviewAt_(now)
 { }
 
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -50,8 +50,7 @@
     void askStatus(const Core::DatabaseName &, Core::Instant now);
     /// Ends all sessions as they come to rest; transactions have until \a transactionsUntil.
     void shutDown(Core::Instant transactionsUntil, Core::Instant now);
-    [[nodiscard]] bool isIdle() const { return sessions_.empty(); }
-    [[nodiscard]] bool isConfigured() const { return table_ != nullptr; }
+    [[nodiscard]] bool isConfigured() const { return table_->version != 0; }
 
     // Callers.
     void sessionOpened(SessionId, std::string_view databaseName, std::string_view key,
@@ -73,6 +72,15 @@
     void advance(Core::Instant now);
     [[nodiscard]] std::vector<Action> takeActions();
 
+    /// Whether lines of Importance::Sampled would be written now.
+    enum class Sampling {
+        Open,
+        Closed,
+    };
+    void setSampling(Sampling sampling) { sampling_ = sampling; }
+    /// Lines that were not made for that reason.
+    [[nodiscard]] std::uint64_t sampledLinesSkipped() const { return sampledLinesSkipped_; }
+
     [[nodiscard]] std::size_t sessionCount() const { return sessions_.size(); }
     [[nodiscard]] std::size_t connectionCount() const { return connections_.size(); }
 
@@ -121,6 +129,7 @@
     void finish(Session &, DatabaseReply, Core::Instant now);
     void fail(Session &, Failure, std::string text, Core::Instant now);
     void answer(Session &, DatabaseReply, Core::Instant now);
+    void logEnded(const Session &, const CountOutcome &, bool isFailure, const std::string &text);
     void operationEnded(Session &, Core::Instant now);
     void lost(Session &, const char *why, Core::Instant now);
 
@@ -162,7 +171,7 @@
     };
 
     Core::DataCentreName dataCentre_;
-    RoutingTablePointer table_;
+    RoutingTablePointer table_; ///< An empty one of version 0 until a configuration is known.
     std::unordered_map<SessionId, Session> sessions_;
     std::unordered_map<ConnectionId, Connection> connections_;
     std::map<Core::DatabaseName, Database> databases_;
@@ -171,6 +180,8 @@
     std::priority_queue<Wakeup, std::vector<Wakeup>, std::greater<>> wakeups_;
     std::vector<Core::DatabaseName> statusWanted_;
     ConnectionId nextConnection_ = 1;
+    Sampling sampling_ = Sampling::Open;
+    std::uint64_t sampledLinesSkipped_ = 0;
     std::size_t memberCount_ = 1;
     Core::Instant memberCountSince_; ///< When there were so many last.
     Core::Instant reviewAt_;
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -47,7 +47,7 @@
 
 bool SessionEngine::refresh(Session &session, Core::Instant)
 {
-    if (!table_) {
+    if (!isConfigured()) {
         end(session, Failure::Busy, "no configuration is known yet; try again in 1 s");
         return false;
     }
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -96,8 +96,7 @@
     VERIFY(!connection.isInTransaction && connection.owed.empty());
     const Database &database = databases_.at(connection.database);
     connection.session = 0;
-    connection.state = Connection::State::Idle;
-    connection.since = now;
+    connection.enter(Connection::State::Idle, now);
     Group &group = groups_.at(connection.group);
     releaseOldPrimary(group, now);
     if (database.isGone || database.entry.availability == DatabaseAvailability::Draining) {
@@ -115,16 +114,14 @@
     connection.session = 0;
     if (!connection.owed.empty() && connection.owed.back().purpose != Purpose::Cleanup) {
         // Cleaned when the answer comes; reviewConnections() bounds the wait.
-        connection.state = Connection::State::Cleaning;
-        connection.since = now;
+        connection.enter(Connection::State::Cleaning, now);
         return;
     }
     if (!connection.isInTransaction) {
         release(connection, now);
         return;
     }
-    connection.state = Connection::State::Cleaning;
-    connection.since = now;
+    connection.enter(Connection::State::Cleaning, now);
     Statement rollback;
     rollback.kind = StatementKind::Rollback;
     send(connection, Purpose::Cleanup, std::move(rollback), {}, now);
@@ -161,7 +158,7 @@
          {"team", session.team.value()},
          {"database_name", session.databaseName},
          {"failure", failure ? std::string(toString(*failure)) : "none"},
-         {"configuration", table_ ? std::to_string(table_->version) : "none"}});
+         {"configuration", std::to_string(table_->version)}});
     // The shell closes the caller's connection and reports it, which removes the session.
     session.isEnding = true;
     session.isEnded = true;
@@ -188,8 +185,7 @@
                 return false;
             if (connection.state != Connection::State::Idle)
                 continue;
-            connection.state = Connection::State::Lent;
-            connection.since = now;
+            connection.enter(Connection::State::Lent, now);
             Statement status;
             status.kind = StatementKind::Status;
             send(connection, Purpose::Status, std::move(status), {}, now);
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -146,9 +146,6 @@
 
 ConnectionLimits SessionEngine::connectionLimits(const Database &database) const
 {
-    // A status may be asked for before the configuration is known.
-    if (!table_)
-        return {};
     const auto group = table_->groups.find(database.entry.group);
     if (group == table_->groups.end())
         return {};
@@ -212,7 +209,7 @@
             scheduleReview(now + evictionPatience);
             return;
         }
-        if (!database.evictions.take(evictionRate(database), now)) {
+        if (!database.evictions.take(evictionRate(database), mostEvictionsSaved, now)) {
             scheduleReview(now + evictionPatience);
             return;
         }
@@ -233,8 +230,7 @@
 
 void SessionEngine::lend(Session &session, Connection &connection, Core::Instant now)
 {
-    connection.state = Connection::State::Lent;
-    connection.since = now;
+    connection.enter(Connection::State::Lent, now);
     connection.session = session.id;
     Operation &operation = *session.running;
     operation.connection = connection.id;
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -258,18 +258,11 @@
         outcome.isOnReplica = operation.isOnReplica;
         outcome.time = now - operation.arrived;
         outcome.queued = operation.firstSentAt.value_or(now) - operation.arrived;
-        log(reply.failure ? Importance::Always : Importance::Sampled, "statement_ended",
-            {{"id", operation.statement.id},
-             {"session", std::to_string(session.id)},
-             {"team", session.team.value()},
-             {"route", session.route->name.value()},
-             {"database", operation.database.value()},
-             {"outcome", outcome.outcome},
-             {"text", answered.text},
-             {"attempts", std::to_string(operation.attempts)},
-             {"ms", std::to_string(outcome.time.milliseconds())},
-             {"queued_ms", std::to_string(outcome.queued.milliseconds())},
-             {"configuration", std::to_string(table_->version)}});
+        // The line of a statement that ended well isn't even made if it would be left out.
+        if (reply.failure || sampling_ == Sampling::Open)
+            logEnded(session, outcome, reply.failure.has_value(), answered.text);
+        else
+            ++sampledLinesSkipped_;
         actions_.emplace_back(std::move(outcome));
     }
     session.running.reset();
@@ -280,6 +273,24 @@
     startNext(session, now);
 }
 
+void SessionEngine::logEnded(const Session &session, const CountOutcome &outcome, bool isFailure,
+                             const std::string &text)
+{
+    const Operation &operation = *session.running;
+    log(isFailure ? Importance::Always : Importance::Sampled, "statement_ended",
+        {{"id", operation.statement.id},
+         {"session", std::to_string(session.id)},
+         {"team", session.team.value()},
+         {"route", session.route->name.value()},
+         {"database", operation.database.value()},
+         {"outcome", outcome.outcome},
+         {"text", text},
+         {"attempts", std::to_string(operation.attempts)},
+         {"ms", std::to_string(outcome.time.milliseconds())},
+         {"queued_ms", std::to_string(outcome.queued.milliseconds())},
+         {"configuration", std::to_string(table_->version)}});
+}
+
 void SessionEngine::startNext(Session &session, Core::Instant now)
 {
     if (session.waiting.empty() || session.isBusy())
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -29,6 +29,8 @@
 /// Idle connections are closed after this where they are not worth keeping. A caller's next
 /// statement mostly comes sooner.
 constexpr Core::Duration idleTime{300};
+/// Evictions that may be saved up while there are none.
+constexpr double mostEvictionsSaved = 3.0;
 /// How long opening a connection takes a slot.
 constexpr double openSlotMilliseconds = 12.0;
 /// A statement waits this long for a connection of its team that another statement uses, before
--- a/Services/Proxy/main.cpp
+++ b/Services/Proxy/main.cpp
@@ -1,3 +1,4 @@
+#include <Core/Incarnation.h>
 #include <Core/SteadyClock.h>
 #include <Observe/Log.h>
 #include <Services/Proxy/ActionRunner.h>
@@ -41,9 +42,7 @@
         , signals_(context_, SIGTERM, SIGINT)
         , ticker_(context_)
     {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        settings_.node.incarnation = static_cast<Peer::Incarnation>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+        settings_.node.incarnation = Core::newIncarnation();
     }
 
     Core::ErrorOr<std::monostate> start()
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -16,13 +16,6 @@
 
 namespace {
 
-Fleet::Boot makeBoot()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<Fleet::Boot>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 std::vector<Observe::LogField>
 toFields(const std::vector<std::pair<std::string, std::string>> &pairs)
 {
@@ -40,7 +33,7 @@
     , settings_(std::move(settings))
     , stopped_(std::move(stopped))
     , sessions_(settings_.dataCentre, Core::SteadyClock::now())
-    , fleet_({settings_.node, makeBoot(), settings_.dataCentre, settings_.peerListen},
+    , fleet_({settings_.node, Core::newIncarnation(), settings_.dataCentre, settings_.peerListen},
              Core::SteadyClock::now())
     , rates_({settings_.node, settings_.dataCentre, settings_.peerListen})
     , acceptor_(context)
@@ -103,6 +96,10 @@
     isPumping_ = true;
     const Core::Instant now = Core::SteadyClock::now();
     exchangeState(now);
+    const double sampled = settings_.sampledLinesPerSecond;
+    sessions_.setSampling(sampledLines_.isReady(sampled, sampled, now)
+                              ? Sessions::SessionEngine::Sampling::Open
+                              : Sessions::SessionEngine::Sampling::Closed);
     const auto expiry = directory_.nextExpiry();
     if (expiry && now >= *expiry)
         applyDirectory(now);
@@ -117,6 +114,7 @@
             break;
         for (auto &action : sessionActions)
             perform(action);
+        fleet_.advance(now);
         for (const auto &action : fleetActions)
             perform(action);
     }
@@ -179,7 +177,6 @@
                    [&](const Sessions::CountOutcome &outcome) { count(outcome); },
                },
                action);
-    fleet_.advance(now);
 }
 
 void Node::perform(const Fleet::Action &action)
@@ -255,9 +252,10 @@
 {
     const Core::Instant now = Core::SteadyClock::now();
     const bool isSampled = line.importance == Sessions::Importance::Sampled;
-    LinePace &pace = isSampled ? sampledLines_ : failureLines_;
-    if (!pace.take(isSampled ? settings_.sampledLinesPerSecond : settings_.failureLinesPerSecond,
-                   now)) {
+    Core::Pace &pace = isSampled ? sampledLines_ : failureLines_;
+    const double perSecond =
+        isSampled ? settings_.sampledLinesPerSecond : settings_.failureLinesPerSecond;
+    if (!pace.take(perSecond, perSecond, now)) {
         ++linesLeftOut_;
         return;
     }
@@ -276,10 +274,11 @@
                               now);
     }
     for (const auto &event : rates_.takeEvents())
-        Observe::log(Severity::Info, "rate_owner_" + event.what,
-                     {{"owner", event.node.value()},
-                      {"team", event.team.value()},
-                      {"role", event.role == Rates::Role::Owner ? "owner" : "stand_in"}});
+        write({Sessions::Importance::Always,
+               "rate_owner_" + event.what,
+               {{"owner", event.node.value()},
+                {"team", event.team.value()},
+                {"role", event.role == Rates::Role::Owner ? "owner" : "stand_in"}}});
     const auto asks = rates_.takeAsks();
     for (const auto &ask : asks) {
         metrics_.add("chervilpin_rate_asks_total", "");
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Core/Milliseconds.h>
+#include <Core/Pace.h>
 #include <Core/Result.h>
 #include <Fleet/FleetEngine.h>
 #include <Http/Client.h>
@@ -8,7 +9,6 @@
 #include <Observe/Metrics.h>
 #include <Rates/RateDesk.h>
 #include <Services/SessionProxy/LineConnection.h>
-#include <Services/SessionProxy/LinePace.h>
 #include <Services/SessionProxy/PeerSocket.h>
 #include <Services/SessionProxy/SessionProxySettings.h>
 #include <Services/SessionProxy/StoreLink.h>
@@ -130,8 +130,8 @@
     std::uint64_t configurationVersion_ = 0;
     Core::Instant armedFor_;
     Core::Instant nextExchange_;
-    LinePace sampledLines_; ///< Of requests that ended well.
-    LinePace failureLines_; ///< Of all else.
+    Core::Pace sampledLines_; ///< Of requests that ended well.
+    Core::Pace failureLines_; ///< Of all else.
     std::uint64_t linesLeftOut_ = 0;
     std::optional<Sessions::StopPlan> stopPlan_; ///< Since this process was told to stop.
     bool isPumping_ = false;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -388,7 +388,8 @@
     metrics_.set("chervilpin_leader", "", fleet_.isLeader() ? 1 : 0);
     metrics_.set("chervilpin_configuration_version", "",
                  static_cast<std::int64_t>(configurationVersion_));
-    metrics_.set("chervilpin_log_lines_left_out", "", static_cast<std::int64_t>(linesLeftOut_));
+    metrics_.set("chervilpin_log_lines_left_out", "",
+                 static_cast<std::int64_t>(linesLeftOut_ + sessions_.sampledLinesSkipped()));
     metrics_.set("chervilpin_log_lines_dropped", "",
                  static_cast<std::int64_t>(Observe::droppedLogLines()));
     Http::Response response;
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -46,7 +46,7 @@
     {
         FleetSettings settings;
         settings.node = Core::NodeName(name);
-        settings.boot = nextBoot++;
+        settings.incarnation = nextIncarnation++;
         settings.address = name;
         Proxy &proxy = proxies[name];
         proxy = {};
@@ -112,7 +112,7 @@
     }
 
     Core::Instant now{1'000'000};
-    Boot nextBoot = 1;
+    Core::Incarnation nextIncarnation = 1;
     std::map<std::string, Proxy> proxies;
     std::vector<Sessions::DatabaseEntry> directory;
     std::set<std::string> cutFromStore;
--- a/Tests/Fleet/TestRecords.cpp
+++ b/Tests/Fleet/TestRecords.cpp
@@ -32,7 +32,7 @@
     const auto read = decode(keyOf(member), encode(member));
     CHECK(read.has_value());
     const auto &again = std::get<MemberRecord>(*read);
-    CHECK(again.node == member.node && again.boot == 7 && again.isRetired);
+    CHECK(again.node == member.node && again.incarnation == 7 && again.isRetired);
     LONGS_EQUAL(4, again.adopted.at(Core::GroupName("g")));
     CHECK(decode(leaderKey(), encode(LeaderRecord{Core::NodeName("n"), 1, 2})).has_value());
     PrimaryRecord replaced = primary("a");
@@ -78,3 +78,36 @@
     LONGS_EQUAL(1, view.apply(garbage).size());
     LONGS_EQUAL(0, view.members().size());
 }
+
+TEST(Records, EqualRecordsHaveEqualSumsWhateverTheirOrder)
+{
+    PrimaryRecord other = primary("b");
+    other.group = Core::GroupName("h");
+    FleetView one;
+    FleetView two;
+    const StoredText first[] = {stored(primary("a"), 3), stored(other, 4)};
+    const StoredText second[] = {stored(other, 4), stored(primary("x"), 2),
+                                 stored(primary("a"), 3)};
+    one.apply(first);
+    two.apply(second);
+    CHECK(one.recordsSum() == two.recordsSum());
+    const StoredText newer[] = {stored(other, 5)};
+    two.apply(newer);
+    CHECK(one.recordsSum() != two.recordsSum());
+}
+
+TEST(Records, OnlyMembersAndLeadersCountAsAChangeOfMembers)
+{
+    FleetView view;
+    const MemberRecord member{Core::NodeName("n"), 7, Core::DataCentreName("dc"), "n", false, {}};
+    const StoredText members[] = {stored(member, 3)};
+    view.apply(members);
+    const auto before = view.membersChange();
+    const StoredText primaries[] = {stored(primary("a"), 4)};
+    view.apply(primaries);
+    view.apply(members);
+    CHECK(view.membersChange() == before);
+    const StoredText gone[] = {{memberKey(member.node), {}, 5, true}};
+    view.apply(gone);
+    CHECK(view.membersChange() != before);
+}
--- a/Tests/FleetWire/TestPeerMessageCodec.cpp
+++ b/Tests/FleetWire/TestPeerMessageCodec.cpp
@@ -12,9 +12,9 @@
 {
     Fleet::Heartbeat sent;
     sent.node = Core::NodeName("n");
-    sent.boot = 5;
+    sent.incarnation = 5;
     sent.sentAt = Core::Instant(1234);
-    sent.echoBoot = 6;
+    sent.echoIncarnation = 6;
     sent.echoSentAt = Core::Instant(77);
     sent.echoHeld = Core::Duration(8);
     sent.confirmedAge = Core::Duration(9);
--- a/Tests/Sessions/EngineFixture.h
+++ b/Tests/Sessions/EngineFixture.h
@@ -147,6 +147,19 @@
         engine.reply(connection, reply, now);
     }
 
+    /// Begins a transaction and lets its first write be done; returns its connection.
+    ConnectionId openTransaction(SessionId session)
+    {
+        say(session, StatementKind::Begin);
+        say(session, StatementKind::Write, "1 x");
+        const ConnectionId connection = sent().back().connection;
+        done(connection, {1, 1}, TransactionState::Open);
+        (void)take();
+        done(connection, {1, 1}, TransactionState::Open);
+        (void)take();
+        return connection;
+    }
+
     /// Lets the primary show a mark, so that reads can be proved fresh.
     void sample(Core::LogMark mark)
     {
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -3,7 +3,6 @@
 #include <Tests/Fakes/LogMarks.h>
 
 #include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 
 using namespace Chervilpin;
@@ -284,13 +283,7 @@
 TEST(SessionEngine, AnIdleTransactionIsRolledBackAndItsCallerToldLater)
 {
     const auto session = fixture.open("own");
-    fixture.say(session, StatementKind::Begin);
-    fixture.say(session, StatementKind::Write, "1 x");
-    const ConnectionId connection = fixture.sent().back().connection;
-    fixture.done(connection, {1, 1}, TransactionState::Open);
-    (void)fixture.take();
-    fixture.done(connection, {1, 1}, TransactionState::Open);
-    (void)fixture.take();
+    (void)fixture.openTransaction(session);
     fixture.pass(Core::Duration(3'000));
     const auto actions = fixture.take();
     LONGS_EQUAL(0, EngineFixture::only<AnswerSession>(actions).size());
@@ -359,13 +352,7 @@
 {
     // The load of scale-1 in kcn-jakarta, seed 11: the next statement ran inside this transaction.
     const auto session = fixture.open("own");
-    fixture.say(session, StatementKind::Begin);
-    fixture.say(session, StatementKind::Write, "1 x");
-    const ConnectionId connection = fixture.sent().back().connection;
-    fixture.done(connection, {1, 1}, TransactionState::Open);
-    (void)fixture.take();
-    fixture.done(connection, {1, 1}, TransactionState::Open);
-    (void)fixture.take();
+    const ConnectionId connection = fixture.openTransaction(session);
     fixture.say(session, StatementKind::SetValue, "red", "colour");
     fixture.say(session, StatementKind::Write, "1 y");
     CHECK(fixture.sent().back().statement.kind == StatementKind::SetValue);
@@ -484,3 +471,22 @@
     (void)fixture.take();
     LONGS_EQUAL(1, fixture.engine.connectionCount());
 }
+
+TEST(SessionEngine, LinesOfStatementsThatEndedWellAreNotMadeIfTheyWouldBeLeftOut)
+{
+    const auto lines = [](const std::vector<Action> &actions) {
+        return std::ranges::count_if(EngineFixture::only<LogLine>(actions), [](const auto &line) {
+            return line.name == "statement_ended";
+        });
+    };
+    fixture.engine.setSampling(SessionEngine::Sampling::Closed);
+    const SessionId session = fixture.open("latest");
+    fixture.say(session, StatementKind::Read, "1");
+    fixture.done(fixture.sent().back().connection, {1, 1});
+    LONGS_EQUAL(0, lines(fixture.take()));
+    LONGS_EQUAL(1, fixture.engine.sampledLinesSkipped());
+    // A failure has its line in any case.
+    fixture.say(session, StatementKind::Write, "1 x");
+    fixture.failed(fixture.sent().back().connection, Failure::ExecutionFailed);
+    LONGS_EQUAL(1, lines(fixture.take()));
+}
