--- a/Libraries/Core/Milliseconds.h
+++ b/Libraries/Core/Milliseconds.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 
 namespace Chervilpin::Core {
 
@@ -60,6 +61,12 @@
         return millisecondsSinceOrigin_;
     }
 
+    /// Later than all others; the deadline of what isn't due at all.
+    [[nodiscard]] static constexpr Instant never()
+    {
+        return Instant(std::numeric_limits<std::int64_t>::max());
+    }
+
     constexpr auto operator<=>(const Instant &) const = default;
 
     friend constexpr Instant operator+(Instant a, Duration b)
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -18,7 +18,8 @@
     Core::NodeName node;
     Core::Incarnation incarnation = 0;
     Core::DataCentreName dataCentre;
-    std::string address; ///< IP:port for messages of other proxies.
+    std::string address;   ///< IP:port for messages of other proxies.
+    unsigned capacity = 0; ///< Of the VM, in thousandths of a core.
 };
 
 /// One proxy's part in the fleet, as a state machine without I/O: membership, leadership, the
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -11,7 +11,12 @@
 {
     if (registration_ != 0)
         return;
-    MemberRecord record{self_.node, self_.incarnation, self_.dataCentre, self_.address, false, {}};
+    MemberRecord record;
+    record.node = self_.node;
+    record.incarnation = self_.incarnation;
+    record.dataCentre = self_.dataCentre;
+    record.address = self_.address;
+    record.capacity = self_.capacity;
     for (const auto &[group, state] : groups_) {
         if (state.released != 0)
             record.adopted[group] = state.released;
@@ -72,7 +77,9 @@
 void FleetEngine::reviewLeadership(Core::Instant now)
 {
     const bool hasStore = now < storeSeenAt_ + leaderStoreSilence;
-    if (isLeader() || leaderClaim_ != 0 || !hasStore
+    // On a start of all, the list before the own registration lacks those that come first.
+    const bool knowsOthers = storeSeenAt_ >= registeredAt_;
+    if (isLeader() || leaderClaim_ != 0 || !hasStore || !knowsOthers
         || !view_.isMember(self_.node, self_.incarnation) || !isLeaderGone(now)) {
         if (!isLeaderGone(now))
             claimSentAt_ = Core::Instant();
--- /dev/null
+++ b/Libraries/Fleet/ObjectKind.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace Chervilpin::Fleet {
+
+/// The kinds of objects in the store that a proxy follows.
+enum class ObjectKind {
+    Directory,     ///< The databases, each written by itself.
+    Configuration, ///< What the operators declared.
+    Records,       ///< This product's own records.
+};
+
+constexpr std::size_t objectKindCount = 3;
+
+[[nodiscard]] constexpr std::string_view toString(ObjectKind kind)
+{
+    switch (kind) {
+    case ObjectKind::Directory:
+        return "directory";
+    case ObjectKind::Configuration:
+        return "configuration";
+    case ObjectKind::Records:
+        break;
+    }
+    return "records";
+}
+
+} // namespace Chervilpin::Fleet
--- a/Libraries/Fleet/Records.cpp
+++ b/Libraries/Fleet/Records.cpp
@@ -37,6 +37,7 @@
             {"incarnation", record.incarnation},
             {"data_centre", record.dataCentre.value()},
             {"address", record.address},
+            {"capacity", record.capacity},
             {"retired", record.isRetired},
             {"adopted", std::move(adopted)}};
 }
@@ -68,6 +69,9 @@
     record.incarnation = object.at("incarnation").to_number<Core::Incarnation>();
     record.dataCentre = Core::DataCentreName(text(object, "data_centre"));
     record.address = text(object, "address");
+    // Not written by proxies of earlier versions.
+    if (const auto *capacity = object.if_contains("capacity"))
+        record.capacity = capacity->to_number<unsigned>();
     record.isRetired = object.at("retired").as_bool();
     for (const auto &[group, revision] : object.at("adopted").as_object())
         record.adopted[Core::GroupName(std::string_view(group))] = revision.to_number<Revision>();
--- a/Libraries/Fleet/Records.h
+++ b/Libraries/Fleet/Records.h
@@ -30,6 +30,7 @@
     bool isRetired = false; ///< Set by the leader on one that is silent; it gets no new rights.
     /// The newest primary records that it adopted, for a leader that it can't reach otherwise.
     std::map<Core::GroupName, Revision> adopted;
+    unsigned capacity = 0; ///< Of its VM, in thousandths of a core.
 };
 
 /// The proxy that acts for all.
--- /dev/null
+++ b/Libraries/Fleet/RelayLog.cpp
@@ -0,0 +1,93 @@
+#include <Fleet/RelayLog.h>
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+namespace Chervilpin::Fleet {
+
+namespace {
+/// Deletions that are remembered. A fleet of the stated target restarts 200 VMs on an ordinary day,
+/// and a proxy that was away for longer lists anew.
+constexpr std::size_t deletionsKept = 1'000;
+} // namespace
+
+void RelayLog::replace(std::span<const StoredText> objects, Revision revision,
+                       Core::Instant confirmedAt)
+{
+    if (revision < revision_)
+        return;
+    std::set<std::string_view> listed;
+    for (const auto &object : objects)
+        listed.insert(object.key);
+    for (auto &[key, known] : objects_) {
+        if (known.isDeleted || listed.contains(key))
+            continue;
+        known = {key, {}, revision, true};
+        ++deletions_;
+    }
+    // What was deleted before the first list is not known.
+    if (!isFilled())
+        historyFrom_ = revision;
+    apply(objects, revision, confirmedAt);
+}
+
+void RelayLog::apply(std::span<const StoredText> changes, Revision revision,
+                     Core::Instant confirmedAt)
+{
+    for (const auto &change : changes)
+        put(change);
+    revision_ = std::max(revision_, revision);
+    confirmedAt_ = std::max(confirmedAt_, confirmedAt);
+    if (deletions_ > deletionsKept)
+        forgetDeletions();
+}
+
+void RelayLog::put(const StoredText &change)
+{
+    auto &known = objects_[change.key];
+    if (known.revision >= change.revision)
+        return;
+    deletions_ -= known.isDeleted ? 1 : 0;
+    deletions_ += change.isDeleted ? 1 : 0;
+    known = change;
+    if (known.isDeleted)
+        known.text.clear();
+}
+
+void RelayLog::forgetDeletions()
+{
+    std::vector<Revision> revisions;
+    for (const auto &[key, object] : objects_) {
+        if (object.isDeleted)
+            revisions.push_back(object.revision);
+    }
+    const auto middle = revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+    std::ranges::nth_element(revisions, middle);
+    historyFrom_ = std::max(historyFrom_, *middle);
+    deletions_ -= std::erase_if(objects_, [&](const auto &entry) {
+        return entry.second.isDeleted && entry.second.revision <= historyFrom_;
+    });
+}
+
+std::vector<StoredText> RelayLog::all() const
+{
+    std::vector<StoredText> result;
+    for (const auto &[key, object] : objects_) {
+        if (!object.isDeleted)
+            result.push_back(object);
+    }
+    return result;
+}
+
+std::vector<StoredText> RelayLog::changesSince(Revision since) const
+{
+    std::vector<StoredText> result;
+    for (const auto &[key, object] : objects_) {
+        if (object.revision > since)
+            result.push_back(object);
+    }
+    return result;
+}
+
+} // namespace Chervilpin::Fleet
--- /dev/null
+++ b/Libraries/Fleet/RelayTiming.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Fleet/ObjectKind.h>
+
+#include <cstddef>
+
+namespace Chervilpin::Fleet {
+
+/// How long a watch of the store is quiet. That of the records bounds how late silent connections
+/// to the store are noticed, and the other feeds list anew when it fails; so it is well within the
+/// users' bounds of 3 s for configuration and 4 s of calm before that. Each call is paid for.
+constexpr Core::Duration recordsWatch{4'000};
+constexpr Core::Duration otherWatch{9'000};
+
+[[nodiscard]] constexpr Core::Duration watchTime(ObjectKind kind)
+{
+    return kind == ObjectKind::Records ? recordsWatch : otherWatch;
+}
+
+/// How long a feed holds a question about records back at most. A feed that is silent is noticed a
+/// little later, and the questions about other objects are then asked elsewhere as well; together
+/// well below the users' bound of 5 s for a configuration.
+constexpr Core::Duration recordsRelayWait{2'000};
+
+[[nodiscard]] constexpr Core::Duration relayWait(ObjectKind kind)
+{
+    return kind == ObjectKind::Records ? recordsRelayWait : otherWatch;
+}
+
+/// The same for a list, which is held back only by a feed that starts together with the asker.
+constexpr Core::Duration listRelayWait{1'000};
+/// How long a feed's answer may take beside that: connecting within a region, and a processor of an
+/// eighth of a core that answers a whole data centre.
+constexpr Core::Duration relayAnswerTime{600};
+/// A feed's knowledge is at most this much older than its watch is long: the time of an answer of
+/// the store.
+constexpr Core::Duration confirmationSlack{1'500};
+
+/// So many proxies of a data centre ask the store for the others, so that one may be lost.
+constexpr std::size_t feedsInDataCentre = 2;
+/// In a data centre of so many proxies, all ask the store themselves: a relay would save few calls,
+/// and each change would come later.
+constexpr std::size_t directUpTo = 8;
+/// A feed that lost the store, or is none, is asked again after this; others may not have lost it.
+constexpr Core::Duration refusedFeedPause{2'000};
+/// A feed that doesn't answer is asked again after this, and after twice as long each time it is
+/// silent again.
+constexpr Core::Duration silentFeedPause{4'000};
+constexpr Core::Duration longestFeedPause{30'000};
+/// On the first start of a fleet each proxy waits this long before it looks for feeds: all start
+/// within 0.3 s, and the platform promises 10 s or more before the first callers.
+constexpr Core::Duration firstStartPause{1'000};
+/// A newer configuration that other proxies have is taken from the store if the feed didn't bring
+/// it within this; a third of the users' strictest bound for a configuration.
+constexpr Core::Duration configurationPatience{1'000};
+
+} // namespace Chervilpin::Fleet
--- a/Libraries/Fleet/StoreFeed.cpp
+++ b/Libraries/Fleet/StoreFeed.cpp
@@ -1,5 +1,7 @@
 #include <Fleet/StoreFeed.h>
 
+#include <Fleet/RelayTiming.h>
+
 #include <algorithm>
 
 namespace Chervilpin::Fleet {
@@ -48,6 +50,16 @@
     return isListing_ ? answerTime : wait_ + answerTime;
 }
 
+RelayQuestion StoreFeed::question(ObjectKind kind) const
+{
+    RelayQuestion question;
+    question.kind = kind;
+    question.form = isListing_ ? RelayQuestion::Form::List : RelayQuestion::Form::Watch;
+    question.since = since_;
+    question.wait = isListing_ ? listRelayWait : relayWait(kind);
+    return question;
+}
+
 StoreFeed::Position StoreFeed::listed(std::string lastName, bool hasMore, Revision storeRevision)
 {
     delay_ = {};
--- a/Libraries/Fleet/StoreFeed.h
+++ b/Libraries/Fleet/StoreFeed.h
@@ -2,6 +2,7 @@
 
 #include <Core/Milliseconds.h>
 #include <Fleet/Records.h>
+#include <Fleet/RelayMessages.h>
 
 #include <string>
 #include <variant>
@@ -39,6 +40,10 @@
     [[nodiscard]] Core::Duration pause(Core::Instant askedAt, Core::Instant now) const;
     /// How long its answer may take.
     [[nodiscard]] Core::Duration timeout() const;
+    /// The same call as next() as a question to a feed.
+    [[nodiscard]] RelayQuestion question(ObjectKind) const;
+    /// Whether a page of a feed is of before what is known already.
+    [[nodiscard]] bool isBehind(Revision storeRevision) const { return storeRevision < since_; }
 
     enum class Position {
         Partial, ///< More pages of a list follow.
--- a/Libraries/Rates/RateDesk.cpp
+++ b/Libraries/Rates/RateDesk.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace Chervilpin::Rates {
@@ -323,7 +322,7 @@
 
 Core::Instant RateDesk::nextDeadline() const
 {
-    Core::Instant due(std::numeric_limits<std::int64_t>::max());
+    Core::Instant due = Core::Instant::never();
     for (const auto &team : asking_)
         due = std::min(due, accounts_.at(team).outstanding->askedAt + askTime);
     return due;
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -213,7 +213,7 @@
         if (due)
             wakeups_.push({*due, top.session});
     }
-    constexpr Core::Instant never(std::numeric_limits<std::int64_t>::max());
+    constexpr Core::Instant never = Core::Instant::never();
     const Core::Instant session = wakeups_.empty() ? never : wakeups_.top().at;
     return isReviewPlanned_ ? std::min(session, reviewAt_) : session;
 }
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -2,6 +2,7 @@
 
 #include <Core/Overloaded.h>
 #include <Core/SteadyClock.h>
+#include <Fleet/RelayTiming.h>
 #include <FleetWire/PeerMessageCodec.h>
 #include <Services/SessionProxy/NodeTiming.h>
 
@@ -33,7 +34,8 @@
     , settings_(std::move(settings))
     , stopped_(std::move(stopped))
     , sessions_(settings_.dataCentre, Core::SteadyClock::now())
-    , fleet_({settings_.node, Core::newIncarnation(), settings_.dataCentre, settings_.peerListen},
+    , fleet_({settings_.node, Core::newIncarnation(), settings_.dataCentre, settings_.peerListen,
+              settings_.capacity},
              Core::SteadyClock::now())
     , rates_({settings_.node, settings_.dataCentre, settings_.peerListen})
     , acceptor_(context)
@@ -58,6 +60,8 @@
                                  }));
     peers_ = TRY(PeerSocket::create(context_, settings_.peerListen,
                                     [this](std::string_view text) { peerDatagram(text); }));
+    relayServer_ =
+        TRY(RelayServer::create(context_, settings_.peerListen, relayDesk_, [this] { pump(); }));
     TRY(listen());
     startStoreLinks();
     Observe::log(Severity::Info, "started",
@@ -78,6 +82,7 @@
                  {{"sessions", std::to_string(sessions_.sessionCount())},
                   {"grace_ms", std::to_string(settings_.stopGrace.milliseconds())}});
     sessions_.shutDown(now + settings_.stopGrace / 2 - transactionMargin, now);
+    reviewFeedRole();
     pump();
 }
 
@@ -106,6 +111,7 @@
     sessions_.advance(now);
     fleet_.advance(now);
     rates_.advance(now);
+    relayDesk_.advance(now);
     for (;;) {
         auto sessionActions = sessions_.takeActions();
         auto fleetActions = fleet_.takeActions();
@@ -118,6 +124,7 @@
         for (const auto &action : fleetActions)
             perform(action);
     }
+    relayServer_->sendReplies();
     checkStopped(now);
     isPumping_ = false;
     armTimer();
@@ -296,14 +303,31 @@
     fleet_.setConfigurationVersion(configurationVersion_);
     sessions_.setMemberCount(fleet_.memberCount(), now);
     rates_.setContact(fleet_.isInContact(now) ? Rates::Contact::Good : Rates::Contact::Poor);
-    if (configurationLink_ && fleet_.newestConfigurationOfPeers() > configurationVersion_)
-        configurationLink_->refresh();
+    reviewConfiguration(now);
+}
+
+void Node::reviewConfiguration(Core::Instant now)
+{
+    if (!configurationLink_ || fleet_.newestConfigurationOfPeers() <= configurationVersion_) {
+        configurationBehindSince_.reset();
+        return;
+    }
+    // A feed tells of a change within a moment, unless something is wrong with it.
+    if (!configurationBehindSince_)
+        configurationBehindSince_ = now;
+    const bool isFollowingFeed = !sources_->current().isStore();
+    if (isFollowingFeed && now < *configurationBehindSince_ + Fleet::configurationPatience)
+        return;
+    Observe::log(Severity::Info, "configuration_behind",
+                 {{"version", std::to_string(configurationVersion_)},
+                  {"of_peers", std::to_string(fleet_.newestConfigurationOfPeers())}});
+    configurationLink_->refreshFromStore();
 }
 
 void Node::armTimer()
 {
     Core::Instant due = std::min(sessions_.nextDeadline(), fleet_.nextDeadline());
-    due = std::min({due, nextExchange_, rates_.nextDeadline()});
+    due = std::min({due, nextExchange_, rates_.nextDeadline(), relayDesk_.nextDeadline()});
     const Core::Instant now = Core::SteadyClock::now();
     due = std::max(due, now + Core::Duration(1));
     if (isTimerArmed_ && armedFor_ <= due && armedFor_ > now)
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -4,14 +4,17 @@
 #include <Core/Pace.h>
 #include <Core/Result.h>
 #include <Fleet/FleetEngine.h>
+#include <Fleet/RelayDesk.h>
 #include <Http/Client.h>
 #include <Http/Server.h>
 #include <Observe/Metrics.h>
 #include <Rates/RateDesk.h>
 #include <Services/SessionProxy/LineConnection.h>
 #include <Services/SessionProxy/PeerSocket.h>
+#include <Services/SessionProxy/RelayServer.h>
 #include <Services/SessionProxy/SessionProxySettings.h>
 #include <Services/SessionProxy/StoreLink.h>
+#include <Services/SessionProxy/StoreSources.h>
 #include <Sessions/DirectoryView.h>
 #include <Sessions/SessionEngine.h>
 #include <Sessions/StopPlan.h>
@@ -78,7 +81,15 @@
 
     // Platform and peers.
     void startStoreLinks();
-    void fleetFeedChanged(bool isReachable);
+    void startOtherLinks();
+    [[nodiscard]] std::vector<StoreLink *> otherLinks() const;
+    [[nodiscard]] std::unique_ptr<StoreLink>
+    makeLink(Fleet::ObjectKind, std::function<void(const StoreNews &)> learned);
+    void relay(Fleet::ObjectKind, const StoreNews &);
+    void contactChanged(Fleet::ObjectKind, bool isReachable, const std::string &why);
+    void recordsContactChanged(bool isReachable);
+    void reviewFeedRole();
+    void reviewConfiguration(Core::Instant now);
     void configurationListed(const std::vector<Adapter::StoreObject> &);
     void directoryListed(const std::vector<Adapter::StoreObject> &);
     void directoryChanged(const std::vector<Adapter::StoreObject> &);
@@ -87,8 +98,7 @@
     void applyDirectory(Core::Instant now);
     void peerDatagram(std::string_view);
     void membersChanged(const Fleet::MembersChanged &, Core::Instant now);
-    void fleetChanged(const std::vector<Adapter::StoreObject> &, Core::Instant askedAt,
-                      bool isComplete);
+    void recordsChanged(const StoreNews &);
     void answerReady(const Http::Request &, const Http::Responder &) const;
     void answerMetrics(const Http::Responder &);
 
@@ -111,6 +121,7 @@
     Sessions::SessionEngine sessions_;
     Fleet::FleetEngine fleet_;
     Rates::RateDesk rates_;
+    Fleet::RelayDesk relayDesk_; ///< What other proxies of the data centre learn from this one.
     Observe::Metrics metrics_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
@@ -119,15 +130,19 @@
     std::unique_ptr<Http::Server> readyServer_;
     std::unique_ptr<Http::Server> metricsServer_;
     std::unique_ptr<PeerSocket> peers_;
-    std::vector<std::unique_ptr<StoreLink>> storeLinks_;
-    StoreLink *configurationLink_ = nullptr;
-    StoreLink *fleetLink_ = nullptr;
+    std::unique_ptr<RelayServer> relayServer_;
+    std::unique_ptr<StoreSources> sources_;
+    std::unique_ptr<StoreLink> recordsLink_;
+    std::unique_ptr<StoreLink> configurationLink_;
+    std::unique_ptr<StoreLink> directoryLink_;
     std::unordered_map<Sessions::SessionId, Caller> callers_;
     std::unordered_map<Sessions::ConnectionId, DatabaseLink> databases_;
     Sessions::DirectoryView directory_;
     std::set<std::string> unreadableEntries_; ///< Those that the log has told of.
     Sessions::SessionId nextSession_ = 1;
     std::uint64_t configurationVersion_ = 0;
+    /// Since when other proxies have a newer configuration.
+    std::optional<Core::Instant> configurationBehindSince_;
     Core::Instant armedFor_;
     Core::Instant nextExchange_;
     Core::Pace sampledLines_; ///< Of requests that ended well.
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -2,6 +2,7 @@
 
 #include <Core/Overloaded.h>
 #include <Core/SteadyClock.h>
+#include <Fleet/RelayTiming.h>
 #include <FleetWire/PeerMessageCodec.h>
 #include <Services/SessionProxy/NodeTiming.h>
 
@@ -11,13 +12,9 @@
 /// Callers, databases, and what the store tells.
 namespace Chervilpin::SessionProxy {
 
-namespace {
-/// As the log names the feed of the fleet's records.
-constexpr std::string_view fleetFeed = "fleet";
-} // namespace
-
 namespace asio = boost::asio;
 using boost::system::error_code;
+using Fleet::ObjectKind;
 using Observe::Severity;
 
 Core::ErrorOr<std::monostate> Node::listen()
@@ -195,65 +192,108 @@
 
 void Node::startStoreLinks()
 {
-    const auto reachable = [this](std::string_view what) {
-        return [this, what = std::string(what)](bool isReachable, const std::string &why) {
-            if (what == fleetFeed)
-                fleetFeedChanged(isReachable);
-            Observe::log(isReachable ? Severity::Info : Severity::Warning,
-                         isReachable ? "store_regained" : "store_lost",
-                         {{"feed", what}, {"why", why}});
-        };
-    };
-    using Objects = std::vector<Adapter::StoreObject>;
-    const auto add = [this](Adapter::StoreKind kind, Core::Duration wait,
-                            StoreLink::Handlers handlers) {
-        storeLinks_.push_back(
-            std::make_unique<StoreLink>(context_, *store_, kind, wait, std::move(handlers)));
-        return storeLinks_.back().get();
-    };
-    const auto configured = [this](const Objects &objects, Core::Instant) {
-        configurationListed(objects);
+    sources_ = std::make_unique<StoreSources>(context_, *store_, settings_.node,
+                                              settings_.dataCentre, [this] {
+                                                  for (auto *link : otherLinks())
+                                                      link->sourceMoved();
+                                                  recordsLink_->sourceMoved();
+                                              });
+    recordsLink_ =
+        makeLink(ObjectKind::Records, [this](const StoreNews &news) { recordsChanged(news); });
+    if (settings_.firstStart == FirstStart::Yes)
+        recordsLink_->setFirstPause(Fleet::firstStartPause);
+    recordsLink_->start();
+}
+
+void Node::startOtherLinks()
+{
+    if (configurationLink_)
+        return;
+    configurationLink_ = makeLink(ObjectKind::Configuration, [this](const StoreNews &news) {
+        configurationListed(news.objects);
+    });
+    directoryLink_ = makeLink(ObjectKind::Directory, [this](const StoreNews &news) {
+        if (news.isList)
+            directoryListed(news.objects);
+        else
+            directoryChanged(news.objects);
+    });
+    for (auto *link : otherLinks())
+        link->start();
+    reviewFeedRole();
+}
+
+std::vector<StoreLink *> Node::otherLinks() const
+{
+    if (!configurationLink_)
+        return {};
+    return {configurationLink_.get(), directoryLink_.get()};
+}
+
+std::unique_ptr<StoreLink> Node::makeLink(ObjectKind kind,
+                                          std::function<void(const StoreNews &)> learned)
+{
+    StoreLink::Handlers handlers;
+    handlers.news = [this, kind, learned = std::move(learned)](const StoreNews &news) {
+        learned(news);
+        relay(kind, news);
         pump();
     };
-    configurationLink_ = add(Adapter::StoreKind::Configuration, configurationWatch,
-                             {configured, configured, reachable("configuration")});
-    add(Adapter::StoreKind::Directory, directoryWatch,
-        {[this](const Objects &objects, Core::Instant) {
-             directoryListed(objects);
-             pump();
-         },
-         [this](const Objects &objects, Core::Instant) {
-             directoryChanged(objects);
-             pump();
-         },
-         reachable("directory")});
-    fleetLink_ = add(Adapter::StoreKind::Fleet, fleetWatch,
-                     {[this](const Objects &objects, Core::Instant askedAt) {
-                          fleetChanged(objects, askedAt, true);
-                      },
-                      [this](const Objects &objects, Core::Instant askedAt) {
-                          fleetChanged(objects, askedAt, false);
-                      },
-                      reachable(fleetFeed)});
-    for (const auto &link : storeLinks_)
-        link->start();
+    handlers.reachable = [this, kind](bool isReachable, const std::string &why) {
+        contactChanged(kind, isReachable, why);
+    };
+    return std::make_unique<StoreLink>(context_, *sources_, metrics_, kind, std::move(handlers));
+}
+
+void Node::relay(ObjectKind kind, const StoreNews &news)
+{
+    std::vector<Fleet::StoredText> relayed;
+    relayed.reserve(news.objects.size());
+    for (const auto &object : news.objects)
+        relayed.push_back(Adapter::toRelayed(object));
+    const Core::Instant now = Core::SteadyClock::now();
+    if (news.isList)
+        relayDesk_.listed(kind, relayed, news.revision, news.confirmedAt, now);
+    else
+        relayDesk_.changed(kind, relayed, news.revision, news.confirmedAt, now);
 }
 
-void Node::fleetFeedChanged(bool isReachable)
+void Node::contactChanged(ObjectKind kind, bool isReachable, const std::string &why)
+{
+    using Contact = Fleet::RelayDesk::Contact;
+    relayDesk_.setContact(kind, isReachable ? Contact::Good : Contact::Lost,
+                          Core::SteadyClock::now());
+    if (kind == ObjectKind::Records)
+        recordsContactChanged(isReachable);
+    Observe::log(isReachable ? Severity::Info : Severity::Warning,
+                 isReachable ? "store_regained" : "store_lost",
+                 {{"objects", std::string(Fleet::toString(kind))}, {"why", why}});
+}
+
+void Node::recordsContactChanged(bool isReachable)
 {
     fleet_.storeReachable(isReachable, Core::SteadyClock::now());
     // Their watches may hang on connections that went silent with this one. While the store is out
-    // of reach, one feed is enough to find out when it is back.
+    // of reach, one link is enough to find out when it is back.
     const auto probing =
         isReachable ? Fleet::StoreFeed::Probing::Yes : Fleet::StoreFeed::Probing::No;
-    for (const auto &link : storeLinks_) {
-        if (link.get() == fleetLink_)
-            continue;
+    for (auto *link : otherLinks()) {
         link->setProbing(probing);
         link->refresh();
     }
 }
 
+void Node::reviewFeedRole()
+{
+    using Role = Fleet::RelayDesk::Role;
+    if (stopPlan_)
+        relayDesk_.setRole(Role::Other);
+    else if (!configurationLink_)
+        relayDesk_.setRole(Role::Undecided);
+    else
+        relayDesk_.setRole(sources_->isFeed() ? Role::Feed : Role::Other);
+}
+
 void Node::configurationListed(const std::vector<Adapter::StoreObject> &objects)
 {
     for (const auto &object : objects) {
@@ -348,21 +388,27 @@
     for (const auto &member : change.members)
         members.push_back({member.node, member.dataCentre, member.address});
     rates_.setMembers(std::move(members), change.known, now);
+    sources_->setMembers(change.members,
+                         fleet_.isLeader() ? Fleet::SourcePlan::Leading::Yes
+                                           : Fleet::SourcePlan::Leading::No);
+    reviewFeedRole();
 }
 
-void Node::fleetChanged(const std::vector<Adapter::StoreObject> &objects, Core::Instant askedAt,
-                        bool isComplete)
+void Node::recordsChanged(const StoreNews &news)
 {
     std::vector<Fleet::StoredText> records;
-    records.reserve(objects.size());
-    for (const auto &object : objects)
+    records.reserve(news.objects.size());
+    for (const auto &object : news.objects)
         records.push_back(Adapter::toStoredText(object));
     const Core::Instant now = Core::SteadyClock::now();
-    if (isComplete)
-        fleet_.recordsListed(records, askedAt, now);
+    if (news.isList)
+        fleet_.recordsListed(records, news.confirmedAt, now);
     else
-        fleet_.recordsChanged(records, askedAt, now);
+        fleet_.recordsChanged(records, news.confirmedAt, now);
     pump();
+    // On the first start of a fleet the list lacks most members, and with them the feeds.
+    if (!news.isList || settings_.firstStart == FirstStart::No)
+        startOtherLinks();
 }
 
 void Node::answerReady(const Http::Request &request, const Http::Responder &responder) const
--- a/Services/SessionProxy/NodeTiming.h
+++ b/Services/SessionProxy/NodeTiming.h
@@ -8,12 +8,6 @@
 constexpr Core::Duration storeCallTime{1'200};
 /// The same for an order to promote.
 constexpr Core::Duration promotionCallTime{1'500};
-/// How long a watch is quiet. That of the fleet's records bounds how late silent connections to the
-/// store are noticed, and the other feeds list anew when it fails; so it is well within the users'
-/// bounds of 3 s for configuration and 4 s of calm before that. Each call is paid for.
-constexpr Core::Duration fleetWatch{4'000};
-constexpr Core::Duration configurationWatch{9'000};
-constexpr Core::Duration directoryWatch{9'000};
 /// How often the engines tell each other what changes slowly: the number of members, the version of
 /// the configuration, whether this proxy sees enough of the fleet.
 constexpr Core::Duration exchangeInterval{500};
--- /dev/null
+++ b/Services/SessionProxy/RelayServer.cpp
@@ -0,0 +1,60 @@
+#include <Services/SessionProxy/RelayServer.h>
+
+#include <Core/SteadyClock.h>
+#include <FleetWire/RelayCodec.h>
+#include <Observe/Log.h>
+
+namespace Chervilpin::SessionProxy {
+
+RelayServer::RelayServer(Fleet::RelayDesk &desk, std::function<void()> asked)
+    : desk_(desk)
+    , asked_(std::move(asked))
+{ }
+
+Core::ErrorOr<std::unique_ptr<RelayServer>> RelayServer::create(boost::asio::io_context &context,
+                                                                std::string_view address,
+                                                                Fleet::RelayDesk &desk,
+                                                                std::function<void()> asked)
+{
+    std::unique_ptr<RelayServer> relay(new RelayServer(desk, std::move(asked)));
+    relay->server_ = TRY(Http::Server::create(
+        context, address, Http::ServerLimits(),
+        [self = relay.get()](const Http::Request &request, const Http::Responder &responder) {
+            self->ask(request, responder);
+        }));
+    return relay;
+}
+
+void RelayServer::ask(const Http::Request &request, const Http::Responder &responder)
+{
+    const auto question = FleetWire::decodeRelayQuestion(request.body);
+    if (request.target != path || !question) {
+        constexpr unsigned badRequest = 400;
+        Observe::log(
+            Observe::Severity::Warning, "relay_question_refused",
+            {{"why", question ? "no such path: " + request.target : question.error().message}});
+        Http::Response response;
+        response.status = badRequest;
+        responder(std::move(response));
+        return;
+    }
+    const Fleet::RelayDesk::Ticket ticket = nextTicket_++;
+    responders_.emplace(ticket, responder);
+    desk_.ask(ticket, *question, Core::SteadyClock::now());
+    asked_();
+}
+
+void RelayServer::sendReplies()
+{
+    for (const auto &reply : desk_.takeReplies()) {
+        auto found = responders_.extract(reply.ticket);
+        if (found.empty())
+            continue;
+        Http::Response response;
+        response.contentType = "application/x-protobuf";
+        response.body = FleetWire::encode(reply.answer);
+        found.mapped()(std::move(response));
+    }
+}
+
+} // namespace Chervilpin::SessionProxy
--- a/Services/SessionProxy/SessionProxySettings.cpp
+++ b/Services/SessionProxy/SessionProxySettings.cpp
@@ -1,5 +1,6 @@
 #include <Services/SessionProxy/SessionProxySettings.h>
 
+#include <cmath>
 #include <sstream>
 #include <toml++/toml.h>
 
@@ -42,6 +43,34 @@
         return *value;
     }
 
+    [[nodiscard]] ErrorOr<bool> flag(std::string_view path, bool otherwise) const
+    {
+        const auto node = table_.at_path(path);
+        if (!node)
+            return otherwise;
+        const auto value = node.value<bool>();
+        if (!value)
+            return failure(ErrorCode::InvalidArgument,
+                           file_ + ": " + std::string(path) + ": true or false is needed");
+        return *value;
+    }
+
+    /// In thousandths of a core; 0 if it isn't given.
+    [[nodiscard]] ErrorOr<unsigned> capacity(std::string_view path) const
+    {
+        constexpr double perCore = 1'000;
+        constexpr double mostCores = 1'000;
+        const auto node = table_.at_path(path);
+        if (!node)
+            return 0U;
+        const auto cores = node.value<double>();
+        if (!cores || *cores <= 0 || *cores > mostCores)
+            return failure(ErrorCode::InvalidArgument,
+                           file_ + ": " + std::string(path)
+                               + ": a number of cores above 0 is needed");
+        return static_cast<unsigned>(std::lround(*cores * perCore));
+    }
+
 private:
     const toml::table &table_;
     const std::string &file_;
@@ -53,6 +82,9 @@
     SessionProxySettings settings;
     settings.node = Core::NodeName(TRY(reader.text("node.name")));
     settings.dataCentre = Core::DataCentreName(TRY(reader.text("node.data_centre")));
+    settings.firstStart =
+        TRY(reader.flag("node.first_start", false)) ? FirstStart::Yes : FirstStart::No;
+    settings.capacity = TRY(reader.capacity("node.cores"));
     settings.callerListen = TRY(reader.text("listen.callers"));
     settings.readyListen = TRY(reader.text("listen.ready"));
     settings.metricsListen = TRY(reader.text("listen.metrics"));
--- a/Services/SessionProxy/SessionProxySettings.h
+++ b/Services/SessionProxy/SessionProxySettings.h
@@ -10,15 +10,23 @@
 
 namespace Chervilpin::SessionProxy {
 
+/// Whether the fleet as a whole starts for the first time, so that no proxy finds the others yet.
+enum class FirstStart {
+    Yes,
+    No,
+};
+
 /// All settings of one process, as read from its TOML file.
 struct SessionProxySettings
 {
     Core::NodeName node;
     Core::DataCentreName dataCentre;
+    FirstStart firstStart = FirstStart::No;
+    unsigned capacity = 0;           ///< Of this VM, in thousandths of a core.
     std::string callerListen;        ///< IP:port for callers.
     std::string readyListen;         ///< IP:port for the balancer's question.
     std::string metricsListen;       ///< IP:port for metrics.
-    std::string peerListen;          ///< IP:port for other proxies, UDP.
+    std::string peerListen;          ///< IP:port for other proxies, UDP and TCP.
     std::string storeAddress;        ///< IP:port of the platform's store.
     std::string promotionAddress;    ///< IP:port that promotions are ordered from.
     Core::Duration stopGrace{6'000}; ///< From SIGTERM until the process is killed.
--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -1,19 +1,36 @@
 #include <Services/SessionProxy/StoreLink.h>
 
 #include <Core/SteadyClock.h>
+#include <Fleet/RelayTiming.h>
+#include <FleetWire/RelayCodec.h>
+#include <Services/SessionProxy/RelayServer.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iterator>
 
 namespace Chervilpin::SessionProxy {
 
+using Fleet::ObjectKind;
+using Fleet::SourceFailure;
 using Fleet::StoreFeed;
 
-StoreLink::StoreLink(boost::asio::io_context &context, Http::Client &client,
-                     Adapter::StoreKind kind, Core::Duration wait, Handlers handlers)
-    : client_(client)
+namespace {
+
+/// Lists are long, so their answers may take as long as those to questions about records.
+Core::Duration feedTimeout(const Fleet::RelayQuestion &question)
+{
+    return std::max(question.wait, Fleet::recordsRelayWait) + Fleet::relayAnswerTime;
+}
+
+} // namespace
+
+StoreLink::StoreLink(boost::asio::io_context &context, StoreSources &sources,
+                     Observe::Metrics &metrics, ObjectKind kind, Handlers handlers)
+    : sources_(sources)
+    , metrics_(metrics)
     , kind_(kind)
-    , feed_(wait)
+    , feed_(Fleet::watchTime(kind))
     , handlers_(std::move(handlers))
     , timer_(context)
 { }
@@ -29,7 +46,42 @@
     call();
 }
 
+void StoreLink::refreshFromStore()
+{
+    feed_.restart();
+    callAt(Fleet::Source());
+}
+
+void StoreLink::sourceMoved()
+{
+    if (askedOf_ && !askedOf_->isStore() && *askedOf_ != sources_.current())
+        call();
+}
+
 void StoreLink::call()
+{
+    callAt(sources_.current());
+}
+
+void StoreLink::callAt(const Fleet::Source &source)
+{
+    ++generation_;
+    askedOf_ = source;
+    if (source.isStore())
+        askStore();
+    else
+        askFeed(source);
+}
+
+void StoreLink::countCall(std::string_view target, std::string_view form)
+{
+    metrics_.add("chervilpin_follow_calls_total",
+                 "target=\"" + std::string(target) + "\",objects=\""
+                     + std::string(Fleet::toString(kind_)) + "\",form=\"" + std::string(form)
+                     + "\"");
+}
+
+void StoreLink::askStore()
 {
     const StoreFeed::Call next = feed_.next();
     const auto *list = std::get_if<StoreFeed::List>(&next);
@@ -39,34 +91,132 @@
     else
         request = Adapter::makeWatch(kind_, std::get<StoreFeed::Watch>(next).since,
                                      std::get<StoreFeed::Watch>(next).wait);
+    countCall("store", list ? "list" : "watch");
     const Core::Instant askedAt = Core::SteadyClock::now();
-    const std::uint64_t generation = ++generation_;
-    client_.send(std::move(request), feed_.timeout(),
-                 [this, generation, askedAt, next](const Core::ErrorOr<Http::Response> &response) {
-                     if (generation == generation_)
-                         answered(response, askedAt, next);
-                 });
+    sources_.clientOf(Fleet::Source())
+        .send(std::move(request), feed_.timeout(),
+              [this, generation = generation_, askedAt,
+               next](const Core::ErrorOr<Http::Response> &response) {
+                  if (generation == generation_)
+                      storeAnswered(response, askedAt, next);
+              });
 }
 
-void StoreLink::answered(const Core::ErrorOr<Http::Response> &response, Core::Instant askedAt,
-                         const StoreFeed::Call &asked)
+void StoreLink::askFeed(const Fleet::Source &source)
 {
+    pages_.clear();
+    const Fleet::RelayQuestion question = feed_.question(kind_);
+    const bool isList = question.form == Fleet::RelayQuestion::Form::List;
+    countCall("feed", isList ? "list" : "watch");
+    const Core::Instant askedAt = Core::SteadyClock::now();
+    sources_.clientOf(source).send(
+        {"POST", std::string(RelayServer::path), {}, FleetWire::encode(question)},
+        feedTimeout(question),
+        [this, generation = generation_, askedAt, question,
+         source](const Core::ErrorOr<Http::Response> &response) {
+            if (generation == generation_)
+                feedAnswered(response, askedAt, question, source);
+        });
+}
+
+void StoreLink::storeAnswered(const Core::ErrorOr<Http::Response> &response, Core::Instant askedAt,
+                              const StoreFeed::Call &asked)
+{
+    askedOf_.reset();
     auto page = Adapter::readPage(response);
     if (page) {
         noteReachable(true, {});
         takePage(std::move(*page), askedAt, asked);
-        callAfter(feed_.pause(askedAt, Core::SteadyClock::now()));
+        // What was learned may have led to another question.
+        if (askedOf_)
+            return;
+        const Core::Duration pause = feed_.pause(askedAt, Core::SteadyClock::now());
+        callAfter(std::max(pause, std::exchange(firstPause_, Core::Duration())));
         return;
     }
-    pages_.clear();
     if (page.error().code == Core::ErrorCode::NotFound) {
-        feed_.restart();
+        historyGone();
+        return;
+    }
+    sourceFailed(Fleet::Source(), SourceFailure::Silent, page.error().message);
+}
+
+void StoreLink::feedAnswered(const Core::ErrorOr<Http::Response> &response, Core::Instant askedAt,
+                             const Fleet::RelayQuestion &asked, const Fleet::Source &source)
+{
+    askedOf_.reset();
+    if (!response) {
+        sourceFailed(source, SourceFailure::Silent, response.error().message);
+        return;
+    }
+    const auto answer = FleetWire::decodeRelayAnswer(response->body);
+    if (!answer) {
+        sourceFailed(source, SourceFailure::Silent, answer.error().message);
+        return;
+    }
+    if (answer->outcome == Fleet::RelayOutcome::HistoryGone) {
+        historyGone();
+        return;
+    }
+    if (answer->outcome != Fleet::RelayOutcome::Page) {
+        sourceFailed(source, SourceFailure::Refused,
+                     answer->outcome == Fleet::RelayOutcome::StoreLost ? "the feed lost the store"
+                                                                       : "the feed is none");
+        return;
+    }
+    const auto news = readFeedPage(*answer, askedAt, asked);
+    if (!news) {
+        sourceFailed(source, SourceFailure::Silent, news.error().message);
+        return;
+    }
+    sources_.answered(source);
+    noteReachable(true, {});
+    if (news->isList)
+        (void)feed_.listed({}, false, news->revision);
+    else
+        feed_.changed(news->revision, !news->objects.empty());
+    handlers_.news(*news);
+    // The feed has taken changes in quick succession together.
+    if (!askedOf_)
+        call();
+}
+
+Core::ErrorOr<StoreNews> StoreLink::readFeedPage(const Fleet::RelayAnswer &answer,
+                                                 Core::Instant askedAt,
+                                                 const Fleet::RelayQuestion &asked) const
+{
+    if (feed_.isBehind(answer.revision))
+        return Core::failure(Core::ErrorCode::Unavailable, "the feed knows less than this proxy");
+    StoreNews news;
+    news.isList = asked.form == Fleet::RelayQuestion::Form::List;
+    news.revision = answer.revision;
+    // The question came to the feed after it was asked here.
+    news.confirmedAt = std::min(askedAt + answer.confirmed, Core::SteadyClock::now());
+    for (const auto &relayed : answer.objects)
+        news.objects.push_back(TRY(Adapter::fromRelayed(relayed)));
+    return news;
+}
+
+void StoreLink::historyGone()
+{
+    feed_.restart();
+    pages_.clear();
+    call();
+}
+
+void StoreLink::sourceFailed(const Fleet::Source &source, SourceFailure failure,
+                             const std::string &why)
+{
+    pages_.clear();
+    const bool isAnotherLeft = !source.isStore() || !sources_.current().isStore();
+    if (sources_.failed(source, failure, why) == Fleet::NextTry::Now || isAnotherLeft) {
         call();
         return;
     }
     feed_.failed();
-    noteReachable(false, page.error().message);
-    callAfter(feed_.delay());
+    noteReachable(false, why);
+    if (!askedOf_)
+        callAfter(feed_.delay());
 }
 
 void StoreLink::callAfter(Core::Duration delay)
@@ -90,17 +240,18 @@
         feed_.changed(page.revision, !page.objects.empty());
         const Core::Instant confirmedAt =
             feed_.confirmedAt(askedAt, !page.objects.empty(), Core::SteadyClock::now());
-        handlers_.changed(std::move(page.objects), confirmedAt);
+        handlers_.news({false, std::move(page.objects), page.revision, confirmedAt});
         return;
     }
     if (list->after.empty()) {
         pages_.clear();
         listAskedAt_ = askedAt;
+        listRevision_ = page.revision;
     }
     std::ranges::move(page.objects, std::back_inserter(pages_));
     const std::string lastName = pages_.empty() ? std::string() : pages_.back().name;
     if (feed_.listed(lastName, page.hasMore, page.revision) == StoreFeed::Position::Complete)
-        handlers_.listed(std::exchange(pages_, {}), listAskedAt_);
+        handlers_.news({true, std::exchange(pages_, {}), listRevision_, listAskedAt_});
 }
 
 void StoreLink::noteReachable(bool isReachable, const std::string &why)
--- a/Services/SessionProxy/StoreLink.h
+++ b/Services/SessionProxy/StoreLink.h
@@ -2,54 +2,84 @@
 
 #include <Core/Milliseconds.h>
 #include <Fleet/StoreFeed.h>
-#include <Http/Client.h>
+#include <Observe/Metrics.h>
+#include <Services/SessionProxy/StoreSources.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <platform/Store.h>
 #include <string>
 #include <vector>
 
 namespace Chervilpin::SessionProxy {
 
-/// Follows one kind of objects in the store over HTTP.
+/// What a link learned: a complete list, or the changes since what it told before.
+struct StoreNews
+{
+    bool isList = false;
+    std::vector<Adapter::StoreObject> objects;
+    Fleet::Revision revision = 0; ///< Of the store.
+    /// As of when there is nothing else.
+    Core::Instant confirmedAt;
+};
+
+/// Follows one kind of objects over HTTP, in the store or at a feed.
 class StoreLink
 {
 public:
     struct Handlers
     {
-        /// The complete list, and when it was asked for.
-        std::function<void(std::vector<Adapter::StoreObject>, Core::Instant askedAt)> listed;
-        /// The changes since, perhaps none, and as of when there are no others.
-        std::function<void(std::vector<Adapter::StoreObject>, Core::Instant confirmedAt)> changed;
+        std::function<void(const StoreNews &)> news;
         /// Contact was lost or regained.
         std::function<void(bool isReachable, const std::string &why)> reachable;
     };
 
-    StoreLink(boost::asio::io_context &, Http::Client &, Adapter::StoreKind, Core::Duration wait,
+    StoreLink(boost::asio::io_context &, StoreSources &, Observe::Metrics &, Fleet::ObjectKind,
               Handlers);
 
     void start();
+    /// The first watch is made so much later than the list before it.
+    void setFirstPause(Core::Duration pause) { firstPause_ = pause; }
     /// Lists again at once, because something newer is known to exist.
     void refresh();
+    /// The same, and from the store itself.
+    void refreshFromStore();
+    /// Asks anew if the question is at a feed that is not to be asked any more.
+    void sourceMoved();
     void setProbing(Fleet::StoreFeed::Probing probing) { feed_.setProbing(probing); }
 
 private:
     void call();
+    void callAt(const Fleet::Source &);
+    void askStore();
+    void askFeed(const Fleet::Source &);
     void callAfter(Core::Duration);
-    void answered(const Core::ErrorOr<Http::Response> &, Core::Instant askedAt,
-                  const Fleet::StoreFeed::Call &);
+    void storeAnswered(const Core::ErrorOr<Http::Response> &, Core::Instant askedAt,
+                       const Fleet::StoreFeed::Call &);
+    void feedAnswered(const Core::ErrorOr<Http::Response> &, Core::Instant askedAt,
+                      const Fleet::RelayQuestion &, const Fleet::Source &);
+    [[nodiscard]] Core::ErrorOr<StoreNews> readFeedPage(const Fleet::RelayAnswer &,
+                                                        Core::Instant askedAt,
+                                                        const Fleet::RelayQuestion &) const;
     void takePage(Adapter::StorePage, Core::Instant askedAt, const Fleet::StoreFeed::Call &);
+    void sourceFailed(const Fleet::Source &, Fleet::SourceFailure, const std::string &why);
+    void historyGone();
     void noteReachable(bool isReachable, const std::string &why);
+    void countCall(std::string_view target, std::string_view form);
 
-    Http::Client &client_;
-    Adapter::StoreKind kind_;
+    StoreSources &sources_;
+    Observe::Metrics &metrics_;
+    Fleet::ObjectKind kind_;
     Fleet::StoreFeed feed_;
     Handlers handlers_;
     boost::asio::steady_timer timer_;
     std::vector<Adapter::StoreObject> pages_; ///< Of a list that is not complete yet.
     Core::Instant listAskedAt_;
-    std::uint64_t generation_ = 0; ///< Of the call whose answer counts.
+    Fleet::Revision listRevision_ = 0; ///< Of its first page.
+    Core::Duration firstPause_;
+    std::uint64_t generation_ = 0;         ///< Of the call whose answer counts.
+    std::optional<Fleet::Source> askedOf_; ///< While a question is unanswered.
     bool isReachable_ = true;
 };
 
--- /dev/null
+++ b/Services/SessionProxy/StoreSources.cpp
@@ -0,0 +1,93 @@
+#include <Services/SessionProxy/StoreSources.h>
+
+#include <Core/SteadyClock.h>
+#include <Core/Verify.h>
+#include <Http/Server.h>
+#include <Observe/Log.h>
+
+#include <algorithm>
+
+namespace Chervilpin::SessionProxy {
+
+using Observe::Severity;
+
+StoreSources::StoreSources(boost::asio::io_context &context, Http::Client &store,
+                           Core::NodeName self, Core::DataCentreName dataCentre,
+                           std::function<void()> moved)
+    : context_(context)
+    , store_(store)
+    , plan_(std::move(self), std::move(dataCentre))
+    , moved_(std::move(moved))
+{ }
+
+void StoreSources::setMembers(std::span<const Fleet::MemberRecord> members,
+                              Fleet::SourcePlan::Leading leading)
+{
+    const Fleet::Source before = current();
+    const bool wasFeed = isFeed();
+    plan_.setMembers(reachable(members), leading);
+    std::erase_if(feeds_, [&](const auto &entry) {
+        return std::ranges::find(plan_.feeds(), entry.first, &Fleet::Source::address)
+            == plan_.feeds().end();
+    });
+    const Fleet::Source after = current();
+    if (before == after && wasFeed == isFeed())
+        return;
+    Observe::log(Severity::Info, "store_source",
+                 {{"source", after.isStore() ? "store" : after.feed.value()},
+                  {"is_feed", isFeed() ? "yes" : "no"},
+                  {"why", "members"},
+                  {"members", std::to_string(members.size())}});
+    moved_();
+}
+
+std::vector<Fleet::MemberRecord>
+StoreSources::reachable(std::span<const Fleet::MemberRecord> members)
+{
+    std::vector<Fleet::MemberRecord> result;
+    for (const auto &member : members) {
+        if (Http::parseEndpoint(member.address))
+            result.push_back(member);
+        else
+            Observe::log(Severity::Warning, "member_address_unusable",
+                         {{"node", member.node.value()}, {"address", member.address}});
+    }
+    return result;
+}
+
+Fleet::Source StoreSources::current() const
+{
+    return plan_.current(Core::SteadyClock::now());
+}
+
+Http::Client &StoreSources::clientOf(const Fleet::Source &source)
+{
+    if (source.isStore())
+        return store_;
+    auto &client = feeds_[source.address];
+    if (client)
+        return *client;
+    const auto endpoint = Http::parseEndpoint(source.address);
+    VERIFY(endpoint.has_value());
+    client = std::make_unique<Http::Client>(context_, *endpoint);
+    return *client;
+}
+
+Fleet::NextTry StoreSources::failed(const Fleet::Source &source, Fleet::SourceFailure failure,
+                                    const std::string &why)
+{
+    const Fleet::Source before = current();
+    const auto next = plan_.failed(source, failure, Core::SteadyClock::now());
+    const Fleet::Source after = current();
+    if (before == after)
+        return next;
+    Observe::log(Severity::Warning, "store_source",
+                 {{"source", after.isStore() ? "store" : after.feed.value()},
+                  {"is_feed", isFeed() ? "yes" : "no"},
+                  {"why", why},
+                  {"left", source.feed.value()}});
+    moved_();
+    return next;
+}
+
+} // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Services/SessionProxy/StoreSources.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <Fleet/SourcePlan.h>
+#include <Http/Client.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Chervilpin::SessionProxy {
+
+/// The connections to the store and to the feeds, and the plan that chooses among them. All that a
+/// proxy follows comes from the same source.
+class StoreSources
+{
+public:
+    /// \a moved is called when another source than before is to be asked.
+    StoreSources(boost::asio::io_context &, Http::Client &store, Core::NodeName,
+                 Core::DataCentreName, std::function<void()> moved);
+
+    void setMembers(std::span<const Fleet::MemberRecord>, Fleet::SourcePlan::Leading);
+    [[nodiscard]] Fleet::Source current() const;
+    [[nodiscard]] bool isFeed() const { return plan_.isFeed(); }
+    [[nodiscard]] Http::Client &clientOf(const Fleet::Source &);
+
+    void answered(const Fleet::Source &source) { plan_.answered(source); }
+    Fleet::NextTry failed(const Fleet::Source &, Fleet::SourceFailure, const std::string &why);
+
+private:
+    [[nodiscard]] static std::vector<Fleet::MemberRecord>
+        reachable(std::span<const Fleet::MemberRecord>);
+
+    boost::asio::io_context &context_;
+    Http::Client &store_;
+    Fleet::SourcePlan plan_;
+    std::function<void()> moved_;
+    std::map<std::string, std::unique_ptr<Http::Client>, std::less<>> feeds_; ///< By address.
+};
+
+} // namespace Chervilpin::SessionProxy
--- a/Tests/Adapter/TestDocuments.cpp
+++ b/Tests/Adapter/TestDocuments.cpp
@@ -108,6 +108,23 @@
     CHECK(changes.has_value() && changes->objects.front().isDeleted);
 }
 
+TEST(Store, AnObjectOfAnyKindIsRelayedWhole)
+{
+    const auto page = readPage(response(
+        200,
+        R"({"events":[{"deleted":false,"object":{"meta":{"name":"a","revision":4},"spec":{"b":[1,"c"]}}},)"
+        R"({"deleted":true,"object":{"meta":{"name":"d","revision":5}}}],"currentRev":10})"));
+    CHECK(page.has_value());
+    for (const auto &object : page->objects) {
+        const auto again = fromRelayed(toRelayed(object));
+        CHECK(again.has_value());
+        CHECK(again->name == object.name && again->revision == object.revision);
+        CHECK(again->isDeleted == object.isDeleted);
+        CHECK(object.isDeleted || again->content == object.content);
+    }
+    CHECK(!fromRelayed({"a", "{cut o", 1, false}).has_value());
+}
+
 TEST(Store, EveryOtherAnswerIsAnError)
 {
     CHECK(readPage(response(410, "{}")).error().code == Core::ErrorCode::NotFound);
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -295,6 +295,50 @@
     LONGS_EQUAL(39, large.users()["db-3"].size());
 }
 
+/// The start of mcr-registry-grown: each of 75 proxies claimed to lead twice, before it knew
+/// others.
+TEST(FleetEngine, NobodyClaimsToLeadBeforeItKnowsWhoElseStarted)
+{
+    const Core::NodeName self("n2");
+    const Core::Instant start(10'000);
+    FleetEngine engine({self, 1, Core::DataCentreName("a"), "n2"}, start);
+    const auto claims = [&] {
+        CallId member = 0;
+        std::size_t count = 0;
+        for (const auto &action : engine.takeActions()) {
+            const auto *write = std::get_if<WriteRecord>(&action);
+            if (!write)
+                continue;
+            if (std::holds_alternative<LeaderRecord>(write->record))
+                ++count;
+            else
+                member = write->id;
+        }
+        if (member != 0)
+            engine.writeEnded(member, WriteOutcome::Done, 5, start + 5_ms);
+        return count;
+    };
+    engine.recordsListed({}, start, start);
+    for (Core::Instant now = start + 1_ms; now < start + 2_s; now = now + 100_ms) {
+        engine.advance(now);
+        LONGS_EQUAL(0, claims());
+    }
+    const auto stored = [](const char *name, Revision revision) {
+        MemberRecord record;
+        record.node = Core::NodeName(name);
+        record.incarnation = 1;
+        return StoredText{memberKey(record.node), encode(record), revision, false};
+    };
+    const std::vector<StoredText> changes{stored("n1", 4), stored("n2", 5)};
+    const Core::Instant told = start + 2_s;
+    engine.recordsChanged(changes, told, told);
+    engine.advance(told);
+    LONGS_EQUAL(0, claims());
+    // The first by name has its turn before this one.
+    engine.advance(told + 200_ms);
+    LONGS_EQUAL(1, claims());
+}
+
 /// trouble-3 of kcn-jakarta-grown: the leader is suspended between its claim and its order, and a
 /// VM that is gone holds rights. The next leader counts from the first claim.
 TEST(FleetEngine, ANewLeaderCountsTheLapseFromTheFirstClaim)
--- a/Tests/Fleet/TestRecords.cpp
+++ b/Tests/Fleet/TestRecords.cpp
@@ -29,11 +29,13 @@
 {
     MemberRecord member{Core::NodeName("n"), 7, Core::DataCentreName("dc"), "10.0.0.1:1", true, {}};
     member.adopted[Core::GroupName("g")] = 4;
+    member.capacity = 250;
     const auto read = decode(keyOf(member), encode(member));
     CHECK(read.has_value());
     const auto &again = std::get<MemberRecord>(*read);
     CHECK(again.node == member.node && again.incarnation == 7 && again.isRetired);
     LONGS_EQUAL(4, again.adopted.at(Core::GroupName("g")));
+    LONGS_EQUAL(250, again.capacity);
     CHECK(decode(leaderKey(), encode(LeaderRecord{Core::NodeName("n"), 1, 2})).has_value());
     PrimaryRecord replaced = primary("a");
     replaced.phase = PrimaryPhase::Replacing;
--- a/Tests/Fleet/TestStoreFeed.cpp
+++ b/Tests/Fleet/TestStoreFeed.cpp
@@ -55,6 +55,21 @@
     LONGS_EQUAL(14, std::get<StoreFeed::Watch>(feed.next()).since);
 }
 
+/// A proxy that changes its source asks the next one from where it stands, and takes nothing older.
+TEST(StoreFeed, AFeedIsAskedFromTheRevisionThatIsKnown)
+{
+    CHECK(feed.question(ObjectKind::Directory).form == RelayQuestion::Form::List);
+    (void)feed.listed("z", false, 14);
+    const auto question = feed.question(ObjectKind::Directory);
+    CHECK(question.form == RelayQuestion::Form::Watch && question.kind == ObjectKind::Directory);
+    LONGS_EQUAL(14, question.since);
+    CHECK(feed.isBehind(13));
+    CHECK(!feed.isBehind(14));
+    feed.restart();
+    CHECK(feed.question(ObjectKind::Directory).form == RelayQuestion::Form::List);
+    LONGS_EQUAL(14, feed.question(ObjectKind::Directory).since);
+}
+
 TEST(StoreFeed, AQuietAnswerIsAsOfTheEndOfTheWait)
 {
     const Core::Instant asked(10'000);
--- /dev/null
+++ b/Tests/FleetWire/TestRelayCodec.cpp
@@ -0,0 +1,48 @@
+#include <FleetWire/RelayCodec.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Chervilpin;
+using namespace Chervilpin::Fleet;
+
+TEST_GROUP(RelayCodec){};
+
+TEST(RelayCodec, QuestionsAreReadAsTheyWereWritten)
+{
+    for (const auto kind :
+         {ObjectKind::Directory, ObjectKind::Configuration, ObjectKind::Records}) {
+        const RelayQuestion sent{kind, RelayQuestion::Form::Watch, 77, Core::Duration(2'000)};
+        const auto read = FleetWire::decodeRelayQuestion(FleetWire::encode(sent));
+        CHECK(read.has_value());
+        CHECK(read->kind == kind && read->form == sent.form && read->wait == sent.wait);
+        LONGS_EQUAL(77, read->since);
+    }
+}
+
+TEST(RelayCodec, AnswersAreReadAsTheyWereWritten)
+{
+    for (const auto outcome : {RelayOutcome::Page, RelayOutcome::HistoryGone,
+                               RelayOutcome::StoreLost, RelayOutcome::NotAFeed}) {
+        RelayAnswer sent;
+        sent.outcome = outcome;
+        sent.revision = 9;
+        sent.confirmed = Core::Duration(-3'500);
+        sent.objects = {{"a", "{\"b\":1}", 8, false}, {"c", "", 9, true}};
+        const auto read = FleetWire::decodeRelayAnswer(FleetWire::encode(sent));
+        CHECK(read.has_value());
+        CHECK(read->outcome == outcome && read->confirmed == sent.confirmed);
+        LONGS_EQUAL(2, read->objects.size());
+        STRCMP_EQUAL("{\"b\":1}", read->objects.front().text.c_str());
+        CHECK(read->objects.back().isDeleted);
+    }
+}
+
+TEST(RelayCodec, WhatNobodyWroteIsRefusedOrNoPage)
+{
+    CHECK(!FleetWire::decodeRelayQuestion("\xff\xff\xff").has_value());
+    CHECK(!FleetWire::decodeRelayQuestion("\x08\x63").has_value()); // Of kind 99.
+    CHECK(!FleetWire::decodeRelayAnswer("no protobuf").has_value());
+    // The answer of an HTTP server that refuses for its own reasons has no body.
+    const auto empty = FleetWire::decodeRelayAnswer("");
+    CHECK(empty.has_value() && empty->outcome != RelayOutcome::Page);
+}
