Operations that reached no database are given back to their team

Change: the session engine returns an admission whose operation was never sent; the rate desk uses it for one that waits, or gives it back to the owner within 140 ms.

Tests: OperationsThatReachedNoDatabaseDoNotCountForTheTeam fails without the change; GivingBackLetsNoTeamStartMoreThanItsLimit, AnOperationThatReachedNoDatabaseIsReturnedToItsTeam.

--- a/Libraries/FleetWire/PeerMessageCodec.cpp
+++ b/Libraries/FleetWire/PeerMessageCodec.cpp
@@ -109,6 +109,7 @@
     ask.role = message.is_to_stand_in() ? Rates::Role::StandIn : Rates::Role::Owner;
     ask.needed = message.needed();
     ask.ahead = message.ahead();
+    ask.returned = message.returned();
     ask.usualPerSecond = message.usual_thousandths() / rateScale;
     return ask;
 }
@@ -162,6 +163,7 @@
     message.set_is_to_stand_in(ask.role == Rates::Role::StandIn);
     message.set_needed(ask.needed);
     message.set_ahead(ask.ahead);
+    message.set_returned(ask.returned);
     message.set_usual_thousandths(toThousandths(ask.usualPerSecond));
     return envelope.SerializeAsString();
 }
--- a/Libraries/Rates/Messages.h
+++ b/Libraries/Rates/Messages.h
@@ -29,6 +29,7 @@
     std::uint32_t ahead = 0;  ///< Operations that are expected soon.
     /// For a stand-in: what the owner granted in the data centre before, operations per second.
     double usualPerSecond = 0;
+    std::uint32_t returned = 0; ///< Operations that were granted and reached no database.
 };
 
 /// The answer to an ask.
--- a/Libraries/Rates/RateDesk.cpp
+++ b/Libraries/Rates/RateDesk.cpp
@@ -81,6 +81,7 @@
     std::erase_if(owned_, isGone);
     std::erase_if(pools_, isGone);
     std::erase_if(asking_, [&](const auto &team) { return !limits.contains(team); });
+    std::erase_if(returning_, [&](const auto &team) { return !limits.contains(team); });
 }
 
 void RateDesk::setMembers(std::vector<Member> members, std::size_t proxies, Core::Instant now)
@@ -158,6 +159,7 @@
 void RateDesk::grantAsOwner(const Ask &ask, Owned &owned, Grant &grant, Core::Instant now)
 {
     TeamRate &bucket = owned.bucket;
+    bucket.putBack(ask.returned);
     while (grant.operations < ask.needed && bucket.take(now))
         ++grant.operations;
     if (grant.operations < ask.needed)
@@ -186,6 +188,24 @@
     serve(team, found->second, now);
 }
 
+void RateDesk::giveBack(const Core::TeamName &team, Core::Instant now)
+{
+    const auto found = accounts_.find(team);
+    if (found == accounts_.end() || found->second.limits.ratePerSecond <= 0)
+        return;
+    Account &account = found->second;
+    if (!account.waiting.empty()) {
+        decisions_.push_back({account.waiting.front(), true});
+        account.waiting.pop_front();
+        return;
+    }
+    // Several are given back together, or with the next ask.
+    if (account.returned == 0)
+        account.returnBy = now + returnPause;
+    ++account.returned;
+    returning_.insert(team);
+}
+
 bool RateDesk::spend(Account &account, Core::Instant now)
 {
     if (now >= account.heldUntil)
@@ -251,6 +271,8 @@
         ask.usualPerSecond = account.granted.perSecond(now);
     else
         ask.usualPerSecond = account.usualPerSecond;
+    // A stand-in's part is too small to give back to.
+    ask.returned = std::exchange(account.returned, 0);
     account.outstanding = Outstanding{ask.id, role, to->node, ask.needed, now};
     asking_.insert(team);
     if (to->node == self_.node)
@@ -325,6 +347,8 @@
     Core::Instant due = Core::Instant::never();
     for (const auto &team : asking_)
         due = std::min(due, accounts_.at(team).outstanding->askedAt + askTime);
+    for (const auto &team : returning_)
+        due = std::min(due, accounts_.at(team).returnBy);
     return due;
 }
 
@@ -343,6 +367,17 @@
         asking_.erase(team);
         serve(team, account, now);
     }
+    std::vector<Core::TeamName> due;
+    for (const auto &team : returning_) {
+        if (now >= accounts_.at(team).returnBy)
+            due.push_back(team);
+    }
+    for (const auto &team : due) {
+        Account &account = accounts_.at(team);
+        returning_.erase(team);
+        if (account.returned > 0 && !account.outstanding)
+            ask(team, account, now);
+    }
 }
 
 std::vector<Decision> RateDesk::takeDecisions()
--- a/Libraries/Rates/RateDesk.h
+++ b/Libraries/Rates/RateDesk.h
@@ -70,6 +70,8 @@
 
     /// Asks for one operation; the decision comes from takeDecisions(), mostly at once.
     void take(const Core::TeamName &, Ticket, Core::Instant now);
+    /// An operation that was admitted reached no database, so another one may start for it.
+    void giveBack(const Core::TeamName &, Core::Instant now);
     /// Another proxy's ask.
     [[nodiscard]] Grant asked(const Ask &, Core::Instant now);
     /// The answer to an own ask.
@@ -116,6 +118,8 @@
         std::uint32_t held = 0;         ///< Granted and not started.
         Core::Instant heldUntil;
         std::deque<Ticket> waiting;
+        std::uint32_t returned = 0; ///< To be given back to the owner with the next ask.
+        Core::Instant returnBy;
         std::optional<Outstanding> outstanding;
         unsigned unanswered = 0; ///< Asks in a row.
     };
@@ -152,6 +156,7 @@
     std::map<Core::TeamName, Owned> owned_;
     std::map<Core::TeamName, StandInPool> pools_; ///< Of teams whose owner somebody couldn't reach.
     std::set<Core::TeamName> asking_;             ///< Teams with an outstanding ask.
+    std::set<Core::TeamName> returning_;          ///< Teams with operations to be given back.
     std::map<Core::NodeName, Silence> silences_;  ///< Of those that didn't answer last.
     std::vector<Decision> decisions_;
     std::vector<AddressedAsk> asks_;
--- a/Libraries/Rates/TeamRate.cpp
+++ b/Libraries/Rates/TeamRate.cpp
@@ -53,6 +53,11 @@
     tokens_ = std::min(tokens, capacity());
 }
 
+void TeamRate::putBack(double operations)
+{
+    tokens_ = std::min(tokens_ + operations, capacity());
+}
+
 bool TeamRate::isOverHalfFull() const
 {
     return limits_.ratePerSecond <= 0 || tokens_ > capacity() / 2;
--- a/Libraries/Rates/TeamRate.h
+++ b/Libraries/Rates/TeamRate.h
@@ -18,6 +18,8 @@
 
     /// Takes one operation; false if it would exceed the share.
     [[nodiscard]] bool take(Core::Instant now);
+    /// Gives operations back that were taken and not started.
+    void putBack(double operations);
     /// Whether more than half of the burst is left, as of the last taking.
     [[nodiscard]] bool isOverHalfFull() const;
     [[nodiscard]] double ratePerSecond() const { return limits_.ratePerSecond; }
--- a/Libraries/Rates/Timing.h
+++ b/Libraries/Rates/Timing.h
@@ -22,6 +22,9 @@
 /// What an owner granted is averaged over this: a small team starts an operation in each data
 /// centre once a second or so.
 constexpr Core::Duration grantedSpan{10'000};
+/// Operations that reached no database are given back to the owner together, after this at most.
+/// Short against the 5 s over which the users count a team's operations.
+constexpr Core::Duration returnPause{140};
 /// What was granted and not started lapses after this. Short against the 5 s over which the users
 /// count a team's operations.
 constexpr Core::Duration grantLifetime{200};
--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -31,6 +31,12 @@
     Core::TeamName team;
 };
 
+/// An admitted operation ended without reaching a database, so that it doesn't count for its team.
+struct ReturnAdmission
+{
+    Core::TeamName team;
+};
+
 /// Why an operation may not start now.
 struct RateRefusal
 {
@@ -130,8 +136,8 @@
     Core::Duration queued; ///< Of that, until it was sent first.
 };
 
-using Action = std::variant<AcceptSession, RequestAdmission, AnswerSession, EndSession,
-                            OpenConnection, CloseConnection, SendStatement, ReportHealth,
-                            ReportReleased, ReportStatus, LogLine, CountOutcome>;
+using Action = std::variant<AcceptSession, RequestAdmission, ReturnAdmission, AnswerSession,
+                            EndSession, OpenConnection, CloseConnection, SendStatement,
+                            ReportHealth, ReportReleased, ReportStatus, LogLine, CountOutcome>;
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -258,6 +258,7 @@
     if (operation.stage == Operation::Stage::Queued) {
         if (now < std::min(operation.queueUntil, operation.deadline))
             return;
+        returnAdmission(session);
         fail(session, Failure::Busy, "no database had room in time; try again in 200 ms", now);
         return;
     }
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -92,6 +92,7 @@
     void begin(Session &, const Statement &, Core::Instant now);
     void endUnbegun(Session &, const Statement &, Core::Instant now);
     void rollBackOpen(Session &, Core::Instant now);
+    void returnAdmission(const Session &);
     void startOperation(Session &, Statement, Core::Instant now);
     [[nodiscard]] bool refresh(Session &, Core::Instant now);
     void enqueue(Session &, Statement, Core::Instant now);
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -163,6 +163,15 @@
         startOperation(*session, std::move(statement), now);
 }
 
+void SessionEngine::returnAdmission(const Session &session)
+{
+    // Only the first statement of an operation is queued.
+    const bool isUnsent = session.running && session.running->stage == Operation::Stage::Queued
+        && !session.running->firstSentAt;
+    if (isUnsent && !session.team.isEmpty())
+        actions_.emplace_back(ReturnAdmission{session.team});
+}
+
 void SessionEngine::refused(SessionId id, const RateRefusal &refusal, Core::Instant now)
 {
     Session *session = findSession(id);
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -136,6 +136,7 @@
         findConnection(session->running ? session->running->connection : session->pinned);
     if (session->route)
         std::erase(groupOf(*session).queue, id);
+    returnAdmission(*session);
     sessions_.erase(id);
     if (connection && connection->session == id)
         abandon(*connection, now);
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -133,57 +133,59 @@
 void Node::perform(Sessions::Action &action)
 {
     const Core::Instant now = Core::SteadyClock::now();
-    std::visit(Core::Overloaded{
-                   [&](const Sessions::AcceptSession &accept) {
-                       const auto caller = callers_.find(accept.session);
-                       if (caller != callers_.end())
-                           caller->second.connection->send(
-                               Adapter::encodeReady(Sessions::TransactionState::None, {}));
-                   },
-                   [&](const Sessions::RequestAdmission &request) {
-                       rates_.take(request.team, request.session, now);
-                   },
-                   [&](const Sessions::AnswerSession &answer) {
-                       const auto caller = callers_.find(answer.session);
-                       if (caller != callers_.end())
-                           caller->second.connection->send(Adapter::encode(answer));
-                   },
-                   [&](const Sessions::EndSession &end) {
-                       const auto caller = callers_.find(end.session);
-                       if (caller == callers_.end())
-                           return;
-                       const auto connection = caller->second.connection;
-                       if (end.failure)
-                           connection->send(Adapter::encodeError(*end.failure, end.text));
-                       connection->finish();
-                       callerClosed(end.session);
-                   },
-                   [&](const Sessions::OpenConnection &open) { openDatabase(open); },
-                   [&](const Sessions::CloseConnection &close) {
-                       const auto link = databases_.find(close.connection);
-                       if (link == databases_.end())
-                           return;
-                       link->second.connection->reset();
-                       databases_.erase(link);
-                   },
-                   [&](const Sessions::SendStatement &send) {
-                       const auto link = databases_.find(send.connection);
-                       if (link != databases_.end())
-                           link->second.connection->send(Adapter::encode(send));
-                   },
-                   [&](const Sessions::ReportHealth &report) {
-                       fleet_.primaryHealth(report.group, report.health, report.mark, now);
-                   },
-                   [&](const Sessions::ReportReleased &report) {
-                       fleet_.primaryReleased(report.group, report.revision, now);
-                   },
-                   [&](const Sessions::ReportStatus &report) {
-                       fleet_.statusAnswered(report.database, report.status, now);
-                   },
-                   [&](const Sessions::LogLine &line) { write(line); },
-                   [&](const Sessions::CountOutcome &outcome) { count(outcome); },
-               },
-               action);
+    std::visit(
+        Core::Overloaded{
+            [&](const Sessions::AcceptSession &accept) {
+                const auto caller = callers_.find(accept.session);
+                if (caller != callers_.end())
+                    caller->second.connection->send(
+                        Adapter::encodeReady(Sessions::TransactionState::None, {}));
+            },
+            [&](const Sessions::RequestAdmission &request) {
+                rates_.take(request.team, request.session, now);
+            },
+            [&](const Sessions::ReturnAdmission &unused) { rates_.giveBack(unused.team, now); },
+            [&](const Sessions::AnswerSession &answer) {
+                const auto caller = callers_.find(answer.session);
+                if (caller != callers_.end())
+                    caller->second.connection->send(Adapter::encode(answer));
+            },
+            [&](const Sessions::EndSession &end) {
+                const auto caller = callers_.find(end.session);
+                if (caller == callers_.end())
+                    return;
+                const auto connection = caller->second.connection;
+                if (end.failure)
+                    connection->send(Adapter::encodeError(*end.failure, end.text));
+                connection->finish();
+                callerClosed(end.session);
+            },
+            [&](const Sessions::OpenConnection &open) { openDatabase(open); },
+            [&](const Sessions::CloseConnection &close) {
+                const auto link = databases_.find(close.connection);
+                if (link == databases_.end())
+                    return;
+                link->second.connection->reset();
+                databases_.erase(link);
+            },
+            [&](const Sessions::SendStatement &send) {
+                const auto link = databases_.find(send.connection);
+                if (link != databases_.end())
+                    link->second.connection->send(Adapter::encode(send));
+            },
+            [&](const Sessions::ReportHealth &report) {
+                fleet_.primaryHealth(report.group, report.health, report.mark, now);
+            },
+            [&](const Sessions::ReportReleased &report) {
+                fleet_.primaryReleased(report.group, report.revision, now);
+            },
+            [&](const Sessions::ReportStatus &report) {
+                fleet_.statusAnswered(report.database, report.status, now);
+            },
+            [&](const Sessions::LogLine &line) { write(line); },
+            [&](const Sessions::CountOutcome &outcome) { count(outcome); },
+        },
+        action);
 }
 
 void Node::perform(const Fleet::Action &action)
--- a/Tests/FleetWire/TestPeerMessageCodec.cpp
+++ b/Tests/FleetWire/TestPeerMessageCodec.cpp
@@ -46,7 +46,7 @@
 
 TEST(PeerMessageCodec, AsksAndGrantsAreReadAsTheyWereWritten)
 {
-    Rates::Ask ask{7, "10.0.0.1:9", Core::TeamName("t"), Rates::Role::StandIn, 3, 2, 0.75};
+    Rates::Ask ask{7, "10.0.0.1:9", Core::TeamName("t"), Rates::Role::StandIn, 3, 2, 0.75, 6};
     const auto decodedAsk = FleetWire::decode(FleetWire::encode(ask));
     CHECK(decodedAsk.has_value());
     const auto *readAsk = std::get_if<Rates::Ask>(&*decodedAsk);
@@ -54,6 +54,7 @@
     CHECK(readAsk->id == 7 && readAsk->replyTo == ask.replyTo && readAsk->team == ask.team);
     CHECK(readAsk->role == Rates::Role::StandIn && readAsk->needed == 3 && readAsk->ahead == 2);
     DOUBLES_EQUAL(0.75, readAsk->usualPerSecond, 0.001);
+    LONGS_EQUAL(6, readAsk->returned);
 
     Rates::Grant grant{7,   Core::TeamName("t"), Core::NodeName("n"), false, 4, Core::Duration(250),
                        1.25};
--- a/Tests/Rates/DeskFixture.h
+++ b/Tests/Rates/DeskFixture.h
@@ -55,6 +55,13 @@
         collect(name);
     }
 
+    /// An operation that was granted here reached no database.
+    void giveBack(const std::string &name)
+    {
+        desks.at(name)->giveBack(team, now);
+        collect(name);
+    }
+
     [[nodiscard]] std::string owner()
     {
         OwnerTable table(members.front().dataCentre);
--- a/Tests/Rates/TestRateDesk.cpp
+++ b/Tests/Rates/TestRateDesk.cpp
@@ -76,6 +76,52 @@
     CHECK(fleet.refused.front().decidedBy == fleet.owner());
 }
 
+/// inc-201a of kcn-jakarta-grown, 12 to 18 s: full databases refused two of three tries, each had
+/// used up one operation of its team, and teams well below their limits were refused as over them.
+TEST(RateDesk, OperationsThatReachedNoDatabaseDoNotCountForTheTeam)
+{
+    const Sessions::TeamLimits limits{40, 40};
+    DeskFixture fleet(68, limits);
+    unsigned started = 0;
+    std::bernoulli_distribution isRefusedLater(2.0 / 3);
+    // 30 operations a second, each tried up to three times.
+    for (int second = 0; second < 10; ++second) {
+        for (int i = 0; i < 90; ++i) {
+            fleet.want("n" + std::to_string(1 + (i * 7 + second) % 68));
+            fleet.pass(11_ms);
+            for (const auto &decision : std::exchange(fleet.granted, {})) {
+                if (isRefusedLater(random))
+                    fleet.giveBack("n" + std::to_string(1 + (i * 7 + second) % 68));
+                else
+                    ++started;
+                (void)decision;
+            }
+        }
+    }
+    CHECK(fleet.refused.size() <= 45);
+    CHECK(started >= 250);
+}
+
+TEST(RateDesk, GivingBackLetsNoTeamStartMoreThanItsLimit)
+{
+    const Sessions::TeamLimits limits{30, 30};
+    DeskFixture fleet(20, limits);
+    std::bernoulli_distribution isRefusedLater(0.5);
+    std::size_t started = 0;
+    for (int i = 0; i < 500; ++i) {
+        const std::string name = "n" + std::to_string(1 + i % 20);
+        fleet.want(name);
+        fleet.pass(10_ms);
+        for (std::size_t k = std::exchange(fleet.granted, {}).size(); k > 0; --k) {
+            if (isRefusedLater(random))
+                fleet.giveBack(name);
+            else
+                ++started;
+        }
+    }
+    CHECK(static_cast<double>(started) <= accepted(limits));
+}
+
 /// A VM that loses power: nothing answers there until the fleet has retired it.
 TEST(RateDesk, WithoutTheOwnerTheStandInsKeepWithinWhatIsAccepted)
 {
--- a/Tests/Rates/TestTeamRate.cpp
+++ b/Tests/Rates/TestTeamRate.cpp
@@ -35,6 +35,17 @@
     LONGS_EQUAL(10, takeAll(rate, start + 10_s + 200_ms));
 }
 
+TEST(TeamRate, WhatIsPutBackNeverExceedsTheBurst)
+{
+    rate.setShare(1, start);
+    rate.setLimits({10, 8}, start);
+    LONGS_EQUAL(4, takeAll(rate, start));
+    rate.putBack(3);
+    LONGS_EQUAL(3, takeAll(rate, start));
+    rate.putBack(100);
+    LONGS_EQUAL(8, takeAll(rate, start));
+}
+
 TEST(TeamRate, ALowerLimitTakesTokensAwayAtOnce)
 {
     rate.setShare(1, start);
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -419,6 +419,32 @@
     LONGS_EQUAL(0, fixture.sent().size());
 }
 
+TEST(SessionEngine, AnOperationThatReachedNoDatabaseIsReturnedToItsTeam)
+{
+    fixture.isOpening = false;
+    const SessionId refused = fixture.open("latest");
+    fixture.say(refused, StatementKind::Read, "1");
+    (void)fixture.take();
+    fixture.pass(Core::Duration(400));
+    const auto late = fixture.take();
+    LONGS_EQUAL(1, EngineFixture::only<ReturnAdmission>(late).size());
+    CHECK(EngineFixture::only<AnswerSession>(late).front().failure == Failure::Busy);
+    const SessionId left = fixture.open("latest");
+    fixture.say(left, StatementKind::Read, "1");
+    (void)fixture.take();
+    fixture.engine.sessionClosed(left, fixture.now);
+    LONGS_EQUAL(1, EngineFixture::only<ReturnAdmission>(fixture.take()).size());
+}
+
+TEST(SessionEngine, AnOperationThatWasSentCountsForItsTeam)
+{
+    const SessionId session = fixture.open("latest");
+    fixture.say(session, StatementKind::Write, "1 x");
+    LONGS_EQUAL(1, fixture.sent().size());
+    fixture.engine.sessionClosed(session, fixture.now);
+    CHECK(EngineFixture::only<ReturnAdmission>(fixture.take()).empty());
+}
+
 TEST(SessionEngine, AStopWaitsForAnOperationAtAdmission)
 {
     fixture.isAdmitting = false;
