Leaders by strength, succession by hash, and judgements only when all have been heard

Change: the strongest VM leads and successors are in an order by hash; a member tells the leader only the groups that it knows of; nobody is retired before a majority has been heard for 4.5 s; a new leader judges primaries after 1.3 s; contact with the store is judged by what it confirmed; an old primary that answers goes on at once while no candidate is named.

--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -10,6 +10,7 @@
     : self_(std::move(settings))
     , startedAt_(now)
     , majoritySeenAt_(now)
+    , majoritySince_(now)
     , nextBeat_(now)
     , nextReview_(now)
 { }
@@ -34,9 +35,8 @@
 void FleetEngine::confirm(Core::Instant askedAt, Core::Instant now)
 {
     isDeposed_ = false;
-    if (now > lastAnswerAt_ + leaderStoreSilence)
+    if (askedAt > storeSeenAt_ + longestConfirmationGap)
         contactSince_ = now;
-    lastAnswerAt_ = now;
     storeSeenAt_ = std::max(storeSeenAt_, askedAt);
     if (view_.isMember(self_.node, self_.incarnation)) {
         for (const auto &[group, primary] : view_.primaries())
@@ -308,8 +308,7 @@
     nextReview_ = now + reviewInterval;
     if (!isListed_ || isLeaving_)
         return;
-    if (2 * heardCount(now) > contacts_.size() + 1)
-        majoritySeenAt_ = now;
+    noteMajority(now);
     reviewMembership(now);
     reviewLeadership(now);
     if (isLeader()) {
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -119,12 +119,15 @@
 
     void write(CallId, Record, Revision expected);
     void registerSelf(Core::Instant now);
+    void noteMajority(Core::Instant now);
     void reviewMembership(Core::Instant now);
     void reviewLeadership(Core::Instant now);
     void claimLeadership(Core::Instant now);
     void order(OrderPromotion, Core::Instant now);
     void giveOrders(WriteOutcome, Revision, Core::Instant now);
     [[nodiscard]] bool isLeaderGone(Core::Instant now) const;
+    [[nodiscard]] std::size_t successionRank() const;
+    [[nodiscard]] bool hasMajorityFor(Core::Duration, Core::Instant now) const;
     [[nodiscard]] bool hasStableContact(Core::Instant now) const;
     [[nodiscard]] std::size_t heardCount(Core::Instant now) const;
 
@@ -184,10 +187,10 @@
     Core::Instant claimSentAt_;
     Core::Instant registeredAt_;
     Core::Instant startedAt_;
-    Core::Instant storeSeenAt_; ///< When the newest answered question to the store was asked.
-    Core::Instant lastAnswerAt_;
+    Core::Instant storeSeenAt_;    ///< When the newest answered question to the store was asked.
     Core::Instant contactSince_;   ///< Since when the store answers without a longer gap.
-    Core::Instant majoritySeenAt_; ///< When half of the members were heard last.
+    Core::Instant majoritySeenAt_; ///< When half of the contacts were heard last.
+    Core::Instant majoritySince_;  ///< Since when they are heard without a break.
     Core::Instant leadingSince_;
     Core::Instant nextBeat_;
     Core::Instant nextReview_;
--- a/Libraries/Fleet/FleetEngineBeat.cpp
+++ b/Libraries/Fleet/FleetEngineBeat.cpp
@@ -157,12 +157,16 @@
     // The leader judges all groups by what all members see of them.
     const auto exchange = exchanges_.find(receiver.node);
     const auto &leader = view_.leader();
+    const bool isToLeader = leader && leader->record.node == receiver.node;
     const bool areAllReported = detail == Detail::All
-        || (leader && leader->record.node == receiver.node)
         || (exchange != exchanges_.end() && now < exchange->second.detailsUntil);
     for (const auto &[group, state] : groups_) {
         const auto *primary = view_.findPrimary(group);
-        if (!primary || (!areAllReported && !isReported(primary->record, state, primary->revision)))
+        if (!primary)
+            continue;
+        const bool isForLeader = isToLeader && state.health != Health::Unknown;
+        if (!areAllReported && !isForLeader
+            && !isReported(primary->record, state, primary->revision))
             continue;
         PrimaryReport report;
         report.group = group;
--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -1,5 +1,6 @@
 #include <Fleet/FleetEngine.h>
 
+#include <Core/Rank.h>
 #include <Fleet/Timing.h>
 
 #include <algorithm>
@@ -7,6 +8,11 @@
 /// Membership, leadership, and what the leader does.
 namespace Chervilpin::Fleet {
 
+namespace {
+/// Of the order in which proxies of the same strength follow a leader.
+constexpr std::string_view successionOrder = "succession";
+} // namespace
+
 void FleetEngine::registerSelf(Core::Instant now)
 {
     if (registration_ != 0)
@@ -47,10 +53,39 @@
     return static_cast<std::size_t>(count) + 1;
 }
 
+void FleetEngine::noteMajority(Core::Instant now)
+{
+    if (2 * heardCount(now) <= contacts_.size() + 1)
+        return;
+    if (now >= majoritySeenAt_ + majorityMemory)
+        majoritySince_ = now;
+    majoritySeenAt_ = now;
+}
+
+bool FleetEngine::hasMajorityFor(Core::Duration span, Core::Instant now) const
+{
+    return now < majoritySeenAt_ + majorityMemory && now >= majoritySince_ + span;
+}
+
 bool FleetEngine::hasStableContact(Core::Instant now) const
 {
     return now >= contactSince_ + peerSilence && now >= startedAt_ + peerSilence
-        && (now < majoritySeenAt_ + majorityMemory || now >= majoritySeenAt_ + minorityPatience);
+        && (hasMajorityFor(peerSilence, now) || now >= majoritySeenAt_ + minorityPatience);
+}
+
+std::size_t FleetEngine::successionRank() const
+{
+    // A leader hears and answers all members, so the strongest come first. The order among equals
+    // is by hash: by name, a whole data centre that is cut off could come first.
+    const auto strength = [](const MemberRecord &member) {
+        return std::pair(member.capacity, Core::rankOf(member.node, successionOrder));
+    };
+    const auto *self = view_.findMember(self_.node);
+    if (!self)
+        return view_.members().size();
+    const auto own = strength(self->record);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        view_.members(), [&](const auto &entry) { return strength(entry.second.record) > own; }));
 }
 
 bool FleetEngine::isLeaderGone(Core::Instant now) const
@@ -86,8 +121,7 @@
         return;
     }
     if (claimSentAt_ == Core::Instant()) {
-        const auto rank = std::distance(view_.members().begin(), view_.members().find(self_.node));
-        claimSentAt_ = now + successionStep * rank;
+        claimSentAt_ = now + successionStep * static_cast<std::int64_t>(successionRank());
     }
     if (now >= claimSentAt_)
         claimLeadership(now);
@@ -153,8 +187,11 @@
 
 void FleetEngine::retireSilent(Core::Instant now)
 {
-    if (now < leadingSince_ + retireAfter || now < contactSince_ + retireAfter
-        || !hasStableContact(now))
+    // After a cut or a pause of its own, a leader hears one member after the other again.
+    const bool isCutOver =
+        hasMajorityFor(retireAfter, now) || now >= majoritySeenAt_ + minorityPatience;
+    if (isStoreLost_ || !isCutOver || now < leadingSince_ + retireAfter
+        || now < contactSince_ + retireAfter || !hasStableContact(now))
         return;
     for (const auto &[node, member] : view_.members()) {
         if (node == self_.node || peers_.isHeard(node, retireAfter, now))
@@ -294,6 +331,8 @@
     // What was suspected in a cut is judged anew after it.
     if (isStoreLost_ || now < contactSince_ + settleTime || now < startedAt_ + settleTime)
         return false;
+    if (now < leadingSince_ + leaderSettleTime)
+        return false;
     if (now >= majoritySeenAt_ + majorityMemory && now < majoritySeenAt_ + minorityPatience)
         return false;
     std::size_t suspects = state.health == Health::Suspect ? 1 : 0;
--- a/Libraries/Fleet/Heartbeat.h
+++ b/Libraries/Fleet/Heartbeat.h
@@ -47,7 +47,8 @@
     /// Over the revisions of all primary records that the sender knows. Equal sums mean that both
     /// know the same records.
     std::uint64_t recordsSum = 0;
-    /// All groups if details are asked for, else those where something is under way.
+    /// All groups if details are asked for, else those where something is under way, and to the
+    /// leader those whose primary the sender knows as well or suspects.
     std::vector<PrimaryReport> primaries;
     std::uint64_t configurationVersion = 0;
     bool wantsReply = false;
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -53,6 +53,13 @@
     case Step::Claim:
         return claim(nextCall, now);
     case Step::Fence:
+        // Nothing was ordered yet, so the old primary may go on as soon as it answers, though not
+        // all proxies have stopped using it.
+        if (candidate_.isEmpty() && isOldAlive(inputs)) {
+            candidate_ = record_.database;
+            step_ = Step::Publish;
+            return publish(nextCall, now);
+        }
         if (!inputs.isFenced)
             return askAll(inputs, now);
         chooseSince_ = now;
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -33,6 +33,13 @@
 /// A leader that had no contact with the store for this long is replaced if another has it. Longer
 /// than the longest wait of a watch, after which a healthy leader always has contact.
 constexpr Core::Duration leaderStoreSilence{6'000};
+/// Between two moments as of which the store confirmed the records, while there is contact with it:
+/// the wait of a quiet watch and a slow answer. A feed that lost the store may go on answering, so
+/// its answers alone show no contact.
+constexpr Core::Duration longestConfirmationGap{5'000};
+/// A new leader judges primaries after this. Before, it knows only what its neighbours suspect;
+/// then all members have told it what they see.
+constexpr Core::Duration leaderSettleTime{1'300};
 /// A member that the leader didn't hear for this long is marked as retired. Longer than the usual
 /// restart of a process.
 constexpr Core::Duration retireAfter{4'500};
@@ -44,7 +51,7 @@
 constexpr Core::Duration settleTime{1'000};
 /// How often conditions are looked at for which nothing else wakes this proxy.
 constexpr Core::Duration reviewInterval{250};
-/// Successors of a leader try one after the other, this far apart, by the order of their names.
+/// Successors of a leader try one after the other, this far apart, the strongest first.
 constexpr Core::Duration successionStep{150};
 /// An order that a leader gave just before it lost the lead has ended after this: the time of the
 /// call, and some for its way.
--- a/Meta/Models/rights.pml
+++ b/Meta/Models/rights.pml
@@ -6,14 +6,16 @@
  *
  * Checked: a statement is acknowledged only by the database that leads.
  *
- * Not in the model: a relayed confirmation that loses its age. That harms only where two proxies are
- * out of touch with a third; Tests/Fleet plays it.
+ * A record that a feed relays with its age is an answer of the store that comes late. Not in the model:
+ * a relayed confirmation that loses its age. That harms only where two proxies are out of touch with
+ * a third; Tests/Fleet plays it.
  *
  * The following make broken variants, which must fail:
  *   NO_FENCE           an order doesn't wait for adoptions or a lapse
  *   CONFIRM_AT_ANSWER  a right lasts from the store's answer, not from the question
  *   ADOPT_IN_FLIGHT    a proxy adopts a replacement while a statement is in flight
  *   NO_ANNOUNCE        an order is given without naming the candidate in the record
+ *   RESTORE_ORDERED    the old primary goes on though another one may have been ordered
  *   LAPSE_FROM_ANY     a lapse is counted from any earlier replacement, though the old primary may
  *                      have been active again in between
  */
@@ -238,10 +240,13 @@
         step[p] = ORDER;
         orders[p] = (1 - database) + 1
     }
-    /* The old primary answers, so it goes on. */
+    /* The old primary answers, so it goes on: nothing was ordered yet, whoever has stopped. */
     :: d_step {
-        (step[p] == FENCE && FENCED(p) && knownRevision[p] == revision && phase == REPLACING
-            && HAS_REVISION) ->
+        (step[p] == FENCE && knownRevision[p] == revision && HAS_REVISION
+#ifndef RESTORE_ORDERED
+            && phase == REPLACING
+#endif
+            ) ->
         change(p, ACTIVE, database, 0);
         step[p] = NONE
     }
--- a/Meta/check-models.sh
+++ b/Meta/check-models.sh
@@ -46,7 +46,9 @@
     mustFail -DRIGHT=1 -DTIME=3 -DREVISIONS=4 "-D$defect"
 done
 mustFail -DRIGHT=1 -DTIME=3 -DREVISIONS=6 -DLAPSE_FROM_ANY
+mustFail -DRIGHT=1 -DTIME=1 -DREVISIONS=5 -DRESTORE_ORDERED
 if [ "${1:-}" = full ]; then
     mustPass -DRIGHT=2 -DTIME=3 -DREVISIONS=4
+    mustPass -DRIGHT=1 -DTIME=1 -DREVISIONS=5
 fi
 echo "all models as expected"
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -42,12 +42,13 @@
         bool holdsOldPrimary = false;
     };
 
-    void start(const std::string &name)
+    void start(const std::string &name, unsigned capacity = 0)
     {
         FleetSettings settings;
         settings.node = Core::NodeName(name);
         settings.incarnation = nextIncarnation++;
         settings.address = name;
+        settings.capacity = capacity;
         Proxy &proxy = proxies[name];
         proxy = {};
         proxy.engine = std::make_unique<FleetEngine>(settings, now);
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -323,22 +323,226 @@
         engine.advance(now);
         LONGS_EQUAL(0, claims());
     }
-    const auto stored = [](const char *name, Revision revision) {
+    const auto stored = [](const char *name, unsigned capacity, Revision revision) {
         MemberRecord record;
         record.node = Core::NodeName(name);
         record.incarnation = 1;
+        record.capacity = capacity;
         return StoredText{memberKey(record.node), encode(record), revision, false};
     };
-    const std::vector<StoredText> changes{stored("n1", 4), stored("n2", 5)};
+    const std::vector<StoredText> changes{stored("n1", 500, 4), stored("n2", 120, 5)};
     const Core::Instant told = start + 2_s;
     engine.recordsChanged(changes, told, told);
     engine.advance(told);
     LONGS_EQUAL(0, claims());
-    // The first by name has its turn before this one.
+    // The stronger one has its turn before this one.
     engine.advance(told + 200_ms);
     LONGS_EQUAL(1, claims());
 }
 
+/// mcr-registry-large: a leader on an eighth of a core heard 295 proxies so late that it took half
+/// of them for silent.
+TEST(FleetEngine, TheStrongestLeads)
+{
+    FleetFixture five(5);
+    five.start("n4", 500);
+    five.pass(3_s);
+    five.paused.insert(five.leader());
+    five.pass(6_s);
+    CHECK(five.proxies.at("n4").engine->isLeader());
+}
+
+/// trouble-3 of mcr-registry-large: the leader's data centre was cut off, and all its 53 proxies
+/// came before the others by name.
+TEST(FleetEngine, ALeaderIsReplacedSoonThoughItsDataCentreIsCutOff)
+{
+    FleetFixture large(60);
+    large.paused.insert(large.leader());
+    std::size_t cut = 1;
+    for (const auto &[name, proxy] : large.proxies) {
+        if (cut < 20 && large.paused.insert(name).second)
+            ++cut;
+    }
+    // Three heartbeats are missed, and a few successors are out of reach.
+    large.pass(4_s);
+    std::size_t leaders = 0;
+    for (const auto &[name, proxy] : large.proxies)
+        leaders += !large.paused.contains(name) && proxy.engine->isLeader() ? 1 : 0;
+    LONGS_EQUAL(1, leaders);
+}
+
+/// trouble-1 and trouble-3 of mcr-registry-large: within half a second after a cut of its own, when
+/// it had heard half of the members again, the leader retired the other 147.
+TEST(FleetEngine, ALeaderRetiresNobodyJustAfterACutOfItsOwn)
+{
+    FleetFixture fleet(12);
+    // Their heartbeats are spread over the second.
+    for (int i = 1; i <= 12; ++i) {
+        fleet.pass(80_ms);
+        fleet.start("n" + std::to_string(i));
+    }
+    fleet.pass(15_s);
+    const std::string leader = fleet.leader();
+    fleet.cutFromPeers.insert(leader);
+    for (const auto &[name, proxy] : fleet.proxies)
+        fleet.cutFromStore.insert(name);
+    fleet.pass(4'900_ms);
+    fleet.cutFromPeers.clear();
+    // The others reach the store a moment later and can't lead before.
+    fleet.cutFromStore.erase(leader);
+    fleet.pass(1_s);
+    fleet.cutFromStore.clear();
+    const unsigned before = fleet.writes;
+    fleet.pass(3_s);
+    // Each of the retired would write its record anew.
+    CHECK(fleet.writes <= before + 2);
+    LONGS_EQUAL(12, fleet.users()["db-1"].size());
+}
+
+/// trouble-3 of mcr-registry-large: a leader that had just succeeded claimed 14 of 20 groups at
+/// once, since its neighbours had told it what they suspect and nobody yet what is well.
+TEST(FleetEngine, ANewLeaderHearsAllBeforeItJudgesPrimaries)
+{
+    FleetEngine engine({Core::NodeName("n1"), 1, Core::DataCentreName("a"), "n1"},
+                       Core::Instant(1));
+    std::vector<StoredText> records;
+    const auto store = [&](const Record &record) {
+        records.push_back({keyOf(record), encode(record), records.size() + 1, false});
+    };
+    for (const char *name : {"n1", "n2", "n3", "n4", "n5"}) {
+        MemberRecord member;
+        member.node = Core::NodeName(name);
+        member.incarnation = 1;
+        store(member);
+    }
+    PrimaryRecord primary;
+    primary.group = FleetFixture::group;
+    primary.database = Core::DatabaseName("db-1");
+    store(primary);
+    const Revision revision = records.size();
+    Core::Instant now(100'000);
+    engine.recordsListed(records, now, now);
+    const std::vector<Sessions::DatabaseEntry> directory{
+        FleetFixture::entry("db-1", Sessions::DatabaseRole::Primary)};
+    engine.directoryChanged(directory, now);
+    now = now + 2_s;
+    engine.advance(now);
+    (void)engine.takeActions();
+    records.clear();
+    records.push_back({leaderKey(), encode(LeaderRecord{Core::NodeName("n1"), 1, 1}), 9, false});
+    const auto hear = [&](const char *name, Health health) {
+        Heartbeat heartbeat;
+        heartbeat.node = Core::NodeName(name);
+        heartbeat.incarnation = 1;
+        heartbeat.sentAt = now;
+        PrimaryReport report;
+        report.group = FleetFixture::group;
+        report.revision = revision;
+        report.database = Core::DatabaseName("db-1");
+        report.health = health;
+        heartbeat.primaries.push_back(report);
+        engine.heartbeat(heartbeat, now);
+    };
+    engine.recordsChanged(records, now, now);
+    CHECK(engine.isLeader());
+    const auto claims = [&] {
+        engine.advance(now);
+        return std::ranges::count_if(engine.takeActions(), [](const Action &action) {
+            const auto *write = std::get_if<WriteRecord>(&action);
+            return write && std::holds_alternative<PrimaryRecord>(write->record);
+        });
+    };
+    for (int i = 0; i < 8; ++i) {
+        hear("n2", Health::Suspect);
+        hear("n3", Health::Suspect);
+        if (i >= 4) {
+            hear("n4", Health::Healthy);
+            hear("n5", Health::Healthy);
+        }
+        LONGS_EQUAL(0, claims());
+        now = now + 250_ms;
+    }
+    // One that nearly all suspect is replaced all the same.
+    hear("n4", Health::Suspect);
+    hear("n5", Health::Suspect);
+    LONGS_EQUAL(1, claims());
+}
+
+/// The same cut: contact with the store was regained through a feed, without a failed call of this
+/// proxy, and primaries were judged by connections that had broken in the cut.
+TEST(FleetEngine, AfterALongGapOfConfirmationsPrimariesAreJudgedAnew)
+{
+    for (auto &[name, proxy] : fleet.proxies)
+        fleet.cutFromStore.insert(name);
+    fleet.pass(5'050_ms);
+    fleet.cutFromStore.clear();
+    fleet.pass(50_ms);
+    fleet.report(Health::Suspect);
+    for (int i = 0; i < 30; ++i) {
+        if (i == 10)
+            fleet.report(Health::Healthy);
+        fleet.pass(50_ms);
+        LONGS_EQUAL(3, fleet.users()["db-1"].size());
+    }
+}
+
+/// trouble-1 of mcr-registry-large: eight groups had no primary for 3 s after their databases were
+/// back in reach, since proxies of the same data centre had not been heard yet.
+TEST(FleetEngine, AnOldPrimaryThatAnswersGoesOnThoughNotAllHaveStopped)
+{
+    FleetFixture four(4);
+    const std::string gone = four.leader() == "n4" ? "n3" : "n4";
+    four.paused.insert(gone);
+    four.silentDatabases.insert("db-1");
+    four.report(Health::Suspect);
+    four.pass(2_s);
+    CHECK(four.users()["db-1"].size() <= 1);
+    four.silentDatabases.clear();
+    four.pass(1_s);
+    four.paused.clear();
+    LONGS_EQUAL(4, four.users()["db-1"].size());
+    LONGS_EQUAL(0, four.orders.size());
+}
+
+/// A heartbeat of a member to the leader of 295 of them names the groups of which it has to tell.
+TEST(FleetEngine, WhatTheLeaderIsToldGrowsWithWhatIsKnown)
+{
+    FleetEngine engine({Core::NodeName("n2"), 1, Core::DataCentreName("a"), "n2"},
+                       Core::Instant(1));
+    std::vector<StoredText> records;
+    const auto store = [&](const Record &record) {
+        records.push_back({keyOf(record), encode(record), records.size() + 1, false});
+    };
+    for (const char *name : {"n1", "n2"}) {
+        MemberRecord member;
+        member.node = Core::NodeName(name);
+        member.incarnation = 1;
+        member.address = name;
+        store(member);
+    }
+    store(LeaderRecord{Core::NodeName("n1"), 1, 1});
+    for (const char *group : {"g1", "g2", "g3"}) {
+        PrimaryRecord primary;
+        primary.group = Core::GroupName(group);
+        primary.database = Core::DatabaseName(group);
+        store(primary);
+    }
+    Core::Instant now(100'000);
+    engine.recordsListed(records, now, now);
+    for (const char *group : {"g1", "g2", "g3"})
+        engine.primaryReleased(Core::GroupName(group), records.size(), now);
+    engine.primaryHealth(Core::GroupName("g2"), Health::Healthy, {1, 1}, now);
+    (void)engine.takeActions();
+    now = now + 2_s;
+    engine.advance(now);
+    std::size_t told = 0;
+    for (const auto &action : engine.takeActions()) {
+        if (const auto *send = std::get_if<SendHeartbeat>(&action))
+            told += send->message.primaries.size();
+    }
+    LONGS_EQUAL(1, told);
+}
+
 /// trouble-3 of kcn-jakarta-grown: the leader is suspended between its claim and its order, and a
 /// VM that is gone holds rights. The next leader counts from the first claim.
 TEST(FleetEngine, ANewLeaderCountsTheLapseFromTheFirstClaim)
