A feed that can't serve refuses at once, and one whose knowledge is old is left

All six feeds were cut off from the store from 1 to 13 s. Each held questions back for 2 s and refused them, a refused feed was asked again after 2 s, and so the proxies that the store would have served asked the two feeds in turn for 12 s.

Change: a feed without the store refuses at once; a refused feed rests for 4 s; a feed's own watch of records is quiet for 1.5 s, and one whose confirmation is older than 3.2 s is left. A proxy with feeds asks an unreachable store itself each 1.5 s.

--- a/Libraries/Fleet/RelayDesk.cpp
+++ b/Libraries/Fleet/RelayDesk.cpp
@@ -20,7 +20,7 @@
 bool RelayDesk::isCurrent(ObjectKind kind, const Room &room, Core::Instant now) const
 {
     return role_ == Role::Feed && room.contact == Contact::Good && room.log.isFilled()
-        && now <= room.log.confirmedAt() + watchTime(kind) + confirmationSlack;
+        && now <= room.log.confirmedAt() + longestAge(kind);
 }
 
 bool RelayDesk::isStarting(const Room &room) const
@@ -44,8 +44,15 @@
 
 void RelayDesk::setContact(ObjectKind kind, Contact contact, Core::Instant now)
 {
-    roomOf(kind).contact = contact;
-    answerPending(kind, now);
+    Room &room = roomOf(kind);
+    room.contact = contact;
+    if (contact == Contact::Good) {
+        answerPending(kind, now);
+        return;
+    }
+    for (const auto &[ticket, pending] : room.pending)
+        refuse(ticket, RelayOutcome::StoreLost);
+    room.pending.clear();
 }
 
 void RelayDesk::listed(ObjectKind kind, std::span<const StoredText> objects, Revision revision,
@@ -92,7 +99,10 @@
 {
     const RelayQuestion &question = pending.question;
     const bool isServed = isCurrent(question.kind, room, now);
-    if (isServed && !room.log.reaches(question.since))
+    // A feed that can't serve says so at once: the store may serve the asker all the same.
+    if (!isServed && !isStarting(room))
+        refuse(ticket, RelayOutcome::StoreLost);
+    else if (isServed && !room.log.reaches(question.since))
         refuse(ticket, RelayOutcome::HistoryGone);
     else if (isServed && !room.log.changesSince(question.since).empty())
         give(ticket, pending, room);
--- a/Libraries/Fleet/RelayTiming.h
+++ b/Libraries/Fleet/RelayTiming.h
@@ -18,9 +18,15 @@
     return kind == ObjectKind::Records ? recordsWatch : otherWatch;
 }
 
+/// The same for the records at a feed, which answers for its data centre and makes few calls.
+constexpr Core::Duration feedRecordsWatch{1'500};
+/// The oldest confirmation of the records with which a feed is still followed: its watch, a second
+/// in which it takes changes together, and the time of a slow answer. Then the store itself is
+/// asked; together well below the users' bound of 5 s for a configuration.
+constexpr Core::Duration longestFeedLag{3'200};
+
 /// How long a feed holds a question about records back at most. A feed that is silent is noticed a
-/// little later, and the questions about other objects are then asked elsewhere as well; together
-/// well below the users' bound of 5 s for a configuration.
+/// little later, and the questions about other objects are then asked elsewhere as well.
 constexpr Core::Duration recordsRelayWait{2'000};
 
 [[nodiscard]] constexpr Core::Duration relayWait(ObjectKind kind)
@@ -33,17 +39,27 @@
 /// How long a feed's answer may take beside that: connecting within a region, and a processor of an
 /// eighth of a core that answers a whole data centre.
 constexpr Core::Duration relayAnswerTime{600};
-/// A feed's knowledge is at most this much older than its watch is long: the time of an answer of
-/// the store.
+/// A feed's knowledge of other objects is at most this much older than its watch is long: the time
+/// of an answer of the store.
 constexpr Core::Duration confirmationSlack{1'500};
 
+/// How old the confirmation of what a feed tells may be.
+[[nodiscard]] constexpr Core::Duration longestAge(ObjectKind kind)
+{
+    return kind == ObjectKind::Records ? longestFeedLag : otherWatch + confirmationSlack;
+}
+
 /// So many proxies of a data centre ask the store for the others, so that one may be lost.
 constexpr std::size_t feedsInDataCentre = 2;
 /// In a data centre of so many proxies, all ask the store themselves: a relay would save few calls,
 /// and each change would come later.
 constexpr std::size_t directUpTo = 8;
-/// A feed that lost the store, or is none, is asked again after this; others may not have lost it.
-constexpr Core::Duration refusedFeedPause{2'000};
+/// A feed that lost the store, or is none, is asked again after this. Long against the time in
+/// which both feeds refuse, so that the store itself is asked then.
+constexpr Core::Duration refusedFeedPause{4'000};
+/// Where there are feeds, a proxy that asks an unreachable store itself does so this often. The
+/// feeds find out sooner that it is back.
+constexpr Core::Duration lonelyProbeInterval{1'500};
 /// A feed that doesn't answer is asked again after this, and after twice as long each time it is
 /// silent again.
 constexpr Core::Duration silentFeedPause{4'000};
--- a/Libraries/Fleet/StoreFeed.h
+++ b/Libraries/Fleet/StoreFeed.h
@@ -68,6 +68,8 @@
         No,
     };
     void setProbing(Probing probing) { probing_ = probing; }
+    /// How long the next watch of the store is quiet.
+    void setWait(Core::Duration wait) { wait_ = wait; }
 
 private:
     Core::Duration wait_;
--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -83,6 +83,8 @@
 
 void StoreLink::askStore()
 {
+    const bool isRecordsOfFeed = kind_ == ObjectKind::Records && sources_.isFeed();
+    feed_.setWait(isRecordsOfFeed ? Fleet::feedRecordsWatch : Fleet::watchTime(kind_));
     const StoreFeed::Call next = feed_.next();
     const auto *list = std::get_if<StoreFeed::List>(&next);
     Http::Request request;
@@ -166,7 +168,7 @@
     }
     const auto news = readFeedPage(*answer, askedAt, asked);
     if (!news) {
-        sourceFailed(source, SourceFailure::Silent, news.error().message);
+        sourceFailed(source, SourceFailure::Refused, news.error().message);
         return;
     }
     sources_.answered(source);
@@ -192,6 +194,8 @@
     news.revision = answer.revision;
     // The question came to the feed after it was asked here.
     news.confirmedAt = std::min(askedAt + answer.confirmed, Core::SteadyClock::now());
+    if (Core::SteadyClock::now() > news.confirmedAt + Fleet::longestAge(kind_))
+        return Core::failure(Core::ErrorCode::Unavailable, "the feed's knowledge is too old");
     for (const auto &relayed : answer.objects)
         news.objects.push_back(TRY(Adapter::fromRelayed(relayed)));
     return news;
@@ -216,7 +220,8 @@
     feed_.failed();
     noteReachable(false, why);
     if (!askedOf_)
-        callAfter(feed_.delay());
+        callAfter(sources_.hasFeeds() ? std::max(feed_.delay(), Fleet::lonelyProbeInterval)
+                                      : feed_.delay());
 }
 
 void StoreLink::callAfter(Core::Duration delay)
--- a/Services/SessionProxy/StoreSources.h
+++ b/Services/SessionProxy/StoreSources.h
@@ -23,6 +23,8 @@
     void setMembers(std::span<const Fleet::MemberRecord>, Fleet::SourcePlan::Leading);
     [[nodiscard]] Fleet::Source current() const;
     [[nodiscard]] bool isFeed() const { return plan_.isFeed(); }
+    /// Whether this proxy is to follow feeds, though it may ask the store for a while.
+    [[nodiscard]] bool hasFeeds() const { return !plan_.feeds().empty(); }
     [[nodiscard]] Http::Client &clientOf(const Fleet::Source &);
 
     void answered(const Fleet::Source &source) { plan_.answered(source); }
