--- a/Tests/FleetWire/TestRelayCodec.cpp
+++ b/Tests/FleetWire/TestRelayCodec.cpp
@@ -21,8 +21,9 @@
 
 TEST(RelayCodec, AnswersAreReadAsTheyWereWritten)
 {
-    for (const auto outcome : {RelayOutcome::Page, RelayOutcome::HistoryGone,
-                               RelayOutcome::StoreLost, RelayOutcome::NotAFeed}) {
+    for (const auto outcome :
+         {RelayOutcome::Page, RelayOutcome::HistoryGone, RelayOutcome::StoreLost,
+          RelayOutcome::TooLarge, RelayOutcome::NotAFeed}) {
         RelayAnswer sent;
         sent.outcome = outcome;
         sent.revision = 9;
