--- a/Libraries/Fleet/RelayDesk.cpp
+++ b/Libraries/Fleet/RelayDesk.cpp
@@ -124,13 +124,6 @@
     answer.objects = pending.question.form == RelayQuestion::Form::List
         ? room.log.all()
         : room.log.changesSince(pending.question.since);
-    std::size_t bytes = 0;
-    for (const auto &object : answer.objects)
-        bytes += object.text.size();
-    if (bytes > longestRelayedPage) {
-        refuse(ticket, RelayOutcome::TooLarge);
-        return;
-    }
     answer.revision = room.log.revision();
     answer.confirmed = room.log.confirmedAt() - pending.askedAt;
     replies_.push_back({ticket, std::move(answer)});
--- a/Libraries/Fleet/RelayMessages.h
+++ b/Libraries/Fleet/RelayMessages.h
@@ -28,7 +28,6 @@
     Page,
     HistoryGone, ///< The asker has to list.
     StoreLost,   ///< The feed has lost the store, or what it knows is too old.
-    TooLarge,    ///< The page is left to the store, whose link is faster.
     NotAFeed,    ///< The asked proxy doesn't follow the store itself, or is stopping.
 };
 
--- a/Libraries/Fleet/RelayTiming.h
+++ b/Libraries/Fleet/RelayTiming.h
@@ -49,10 +49,6 @@
     return kind == ObjectKind::Records ? longestFeedLag : otherWatch + confirmationSlack;
 }
 
-/// A page with more text is taken from the store. A feed sends it to half of its data centre at
-/// once: to 100 proxies in half a second, over the 100 Mbit/s that a strong VM has at the least.
-constexpr std::size_t longestRelayedPage = std::size_t{64} * 1024;
-
 /// So many proxies of a data centre ask the store for the others, so that one may be lost.
 constexpr std::size_t feedsInDataCentre = 2;
 /// In a data centre of so many proxies, all ask the store themselves: a relay would save few calls,
--- a/Libraries/FleetWire/RelayCodec.cpp
+++ b/Libraries/FleetWire/RelayCodec.cpp
@@ -48,8 +48,6 @@
         return wire::RelayAnswer::HISTORY_GONE;
     case RelayOutcome::StoreLost:
         return wire::RelayAnswer::STORE_LOST;
-    case RelayOutcome::TooLarge:
-        return wire::RelayAnswer::TOO_LARGE;
     case RelayOutcome::NotAFeed:
         break;
     }
@@ -65,8 +63,6 @@
         return RelayOutcome::HistoryGone;
     case wire::RelayAnswer::STORE_LOST:
         return RelayOutcome::StoreLost;
-    case wire::RelayAnswer::TOO_LARGE:
-        return RelayOutcome::TooLarge;
     default:
         return RelayOutcome::NotAFeed;
     }
--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -160,11 +160,6 @@
         historyGone();
         return;
     }
-    if (answer->outcome == Fleet::RelayOutcome::TooLarge) {
-        sources_.answered(source);
-        refreshFromStore();
-        return;
-    }
     if (answer->outcome != Fleet::RelayOutcome::Page) {
         sourceFailed(source, SourceFailure::Refused,
                      answer->outcome == Fleet::RelayOutcome::StoreLost ? "the feed lost the store"
--- a/Tests/FleetWire/TestRelayCodec.cpp
+++ b/Tests/FleetWire/TestRelayCodec.cpp
@@ -21,9 +21,8 @@
 
 TEST(RelayCodec, AnswersAreReadAsTheyWereWritten)
 {
-    for (const auto outcome :
-         {RelayOutcome::Page, RelayOutcome::HistoryGone, RelayOutcome::StoreLost,
-          RelayOutcome::TooLarge, RelayOutcome::NotAFeed}) {
+    for (const auto outcome : {RelayOutcome::Page, RelayOutcome::HistoryGone,
+                               RelayOutcome::StoreLost, RelayOutcome::NotAFeed}) {
         RelayAnswer sent;
         sent.outcome = outcome;
         sent.revision = 9;
