--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -3,7 +3,6 @@
 #include <Sessions/Timing.h>
 
 #include <algorithm>
-#include <limits>
 
 /// What the control plane tells, and what time brings.
 namespace Chervilpin::Sessions {
@@ -213,8 +212,7 @@
         if (due)
             wakeups_.push({*due, top.session});
     }
-    constexpr Core::Instant never = Core::Instant::never();
-    const Core::Instant session = wakeups_.empty() ? never : wakeups_.top().at;
+    const Core::Instant session = wakeups_.empty() ? Core::Instant::never() : wakeups_.top().at;
     return isReviewPlanned_ ? std::min(session, reviewAt_) : session;
 }
 
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -45,7 +45,6 @@
     void directoryChanged(std::span<const DatabaseEntry>, Core::Instant now);
     void grantPrimary(const PrimaryGrant &, Core::Instant now);
     void setMemberCount(std::size_t, Core::Instant now);
-    /// Takes over this proxy's fraction of each team's limits.
     /// Asks for a status as soon as a connection allows; never answered if the database is silent.
     void askStatus(const Core::DatabaseName &, Core::Instant now);
     /// Ends all sessions as they come to rest; transactions have until \a transactionsUntil.
