--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -3,6 +3,7 @@
 #include <Core/LogMark.h>
 #include <Core/Milliseconds.h>
 #include <Core/Name.h>
+#include <Sessions/Forwarding.h>
 #include <Sessions/Statement.h>
 
 #include <cstdint>
@@ -86,6 +87,47 @@
     std::optional<Core::LogMark> atLeast; ///< The database must hold this, or refuse.
 };
 
+/// Opens the link to a proxy that is to run statements of this one.
+struct OpenLink
+{
+    Core::NodeName node;
+    std::string address; ///< IP:port.
+};
+
+/// Closes the link, open or opening.
+struct CloseLink
+{
+    Core::NodeName node;
+};
+
+/// Asks for a sign of life over the link.
+struct PingLink
+{
+    Core::NodeName node;
+};
+
+/// Sends a statement over the link; the connection's id names the channel.
+struct ForwardStatement
+{
+    Core::NodeName node;
+    ConnectionId channel = 0;
+    ForwardedStatement statement;
+};
+
+/// Closes a channel that the other proxy may hold open.
+struct CloseChannel
+{
+    Core::NodeName node;
+    ConnectionId channel = 0;
+};
+
+/// The answer to a statement that another proxy forwarded here.
+struct AnswerForwarded
+{
+    SessionId session = 0;
+    ForwardedReply answer;
+};
+
 /// What this proxy sees of a group's primary in the answers that it gets.
 enum class PrimaryHealth {
     Unknown, ///< It asked nothing lately.
@@ -137,7 +179,8 @@
 };
 
 using Action = std::variant<AcceptSession, RequestAdmission, ReturnAdmission, AnswerSession,
-                            EndSession, OpenConnection, CloseConnection, SendStatement,
+                            EndSession, OpenConnection, CloseConnection, SendStatement, OpenLink,
+                            CloseLink, PingLink, ForwardStatement, CloseChannel, AnswerForwarded,
                             ReportHealth, ReportReleased, ReportStatus, LogLine, CountOutcome>;
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/ConnectionLimits.cpp
+++ b/Libraries/Sessions/ConnectionLimits.cpp
@@ -15,6 +15,14 @@
 /// What a proxy may open beyond its even part where idle connections are closed. With statements of
 /// tens of milliseconds, a few of all proxies' connections are in use at a time.
 constexpr std::size_t borrowed = 2;
+/// A pooler leaves one connection in so many to others: to its successor while its own still count,
+/// and to proxies that can't reach it.
+constexpr std::size_t poolReservePart = 4;
+
+std::size_t poolReserve(std::size_t most)
+{
+    return std::max(reserve, most / poolReservePart);
+}
 
 } // namespace
 
@@ -26,4 +34,22 @@
     return isScarce ? ConnectionLimits{share + borrowed, false} : ConnectionLimits{share, true};
 }
 
+ConnectionLimits ConnectionLimits::forPooler(std::size_t most)
+{
+    const std::size_t kept = poolReserve(most);
+    return {most > kept ? most - kept : 1, true};
+}
+
+ConnectionLimits ConnectionLimits::besidePooler(std::size_t most)
+{
+    constexpr std::size_t partOfReserve = 2;
+    return {std::max<std::size_t>(1, poolReserve(most) / partOfReserve), false};
+}
+
+bool ConnectionLimits::isPoolerNeeded(std::size_t most, std::size_t proxies, std::size_t teams)
+{
+    const std::size_t planned = most > reserve ? most - reserve : 1;
+    return proxies > 1 && planned / proxies < teams;
+}
+
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/ConnectionLimits.h
+++ b/Libraries/Sessions/ConnectionLimits.h
@@ -18,6 +18,16 @@
     /// \a most connections are shared by so many proxies, whose callers are of so many teams.
     [[nodiscard]] static ConnectionLimits divide(std::size_t most, std::size_t proxies,
                                                  std::size_t teams);
+
+    /// For the proxy that keeps the connections to the database for all others.
+    [[nodiscard]] static ConnectionLimits forPooler(std::size_t most);
+    /// For a proxy that opens some of its own to a database that has a pooler.
+    [[nodiscard]] static ConnectionLimits besidePooler(std::size_t most);
+
+    /// Whether one proxy is to keep a database's connections, as an even part of them has less than
+    /// one for each team.
+    [[nodiscard]] static bool isPoolerNeeded(std::size_t most, std::size_t proxies,
+                                             std::size_t teams);
 };
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -51,6 +51,11 @@
     SessionId session = 0;
     bool isInTransaction = false;
     Core::Instant since; ///< Of the state.
+    /// The proxy that holds the real connection; empty if this one does. Such a connection is a
+    /// channel, made for one operation.
+    Core::NodeName pooler;
+
+    [[nodiscard]] bool isChannel() const { return !pooler.isEmpty(); }
 
     void enter(State next, Core::Instant now)
     {
@@ -74,7 +79,9 @@
     unsigned failures = 0;      ///< Since then.
     Core::Instant openAfter;    ///< No new connection is opened before.
     Core::Pace evictions;       ///< Of idle connections, for those of other teams.
-    bool isGone = false;        ///< Not listed any more; kept while connections are lent.
+    /// Statements go to it directly before, as its pooler could not reach it.
+    Core::Instant directUntil;
+    bool isGone = false; ///< Not listed any more; kept while connections are lent.
 };
 
 /// What this proxy knows of a group of databases.
--- a/Libraries/Sessions/Placement.h
+++ b/Libraries/Sessions/Placement.h
@@ -46,4 +46,11 @@
 /// that a slot never idles for the time of a round trip; more would only wait there unordered.
 [[nodiscard]] unsigned statementLimit(unsigned slots, std::size_t proxies);
 
+/// How many statements the pooler of a database gives it at a time. One waits at the database, so
+/// that a slot never idles for the time of a round trip; all others wait here in order.
+[[nodiscard]] constexpr unsigned poolerLimit(unsigned slots)
+{
+    return slots + 1;
+}
+
 } // namespace Chervilpin::Sessions::Placement
--- /dev/null
+++ b/Libraries/Sessions/PoolerTable.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <Core/Milliseconds.h>
+#include <Core/Name.h>
+#include <Sessions/RoutingTable.h>
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Chervilpin::Sessions {
+
+/// A proxy that may keep the fleet's connections to a database.
+struct PoolMember
+{
+    Core::NodeName node;
+    Core::DataCentreName dataCentre;
+    std::string address;   ///< IP:port for forwarded statements.
+    unsigned capacity = 0; ///< Of its VM, in thousandths of a core.
+};
+
+/// Finds the *pooler* of each database: the proxy that keeps the connections to it, to which the
+/// others forward their statements. Keeps the state of the links to the poolers.
+///
+/// Answers a load of many teams over many proxies: a connection serves one team only, so that
+/// connections of each proxy to each database are mostly of the wrong team, and are opened and
+/// closed all the time. A pooler is in the database's data centre, so the way through it is hardly
+/// longer, and it orders what all proxies send to the database.
+class PoolerTable
+{
+public:
+    explicit PoolerTable(Core::NodeName self);
+
+    void setMembers(std::vector<PoolMember>);
+
+    /// Whom to forward statements for this database to; null if this proxy is to run them itself.
+    [[nodiscard]] const PoolMember *choose(const DatabaseEntry &, Core::Instant now);
+    /// Whether this proxy is the pooler, as all before it in rank fail.
+    [[nodiscard]] bool isSelf(const DatabaseEntry &, Core::Instant now);
+
+    // The links to the poolers.
+    enum class Link {
+        Closed,
+        Opening,
+        Up,
+    };
+    [[nodiscard]] Link linkTo(const Core::NodeName &) const;
+    void opening(const Core::NodeName &, Core::Instant now);
+    void opened(const Core::NodeName &, Core::Instant now);
+    /// The link broke, or could not be opened.
+    void lost(const Core::NodeName &, Core::Instant now);
+    /// The proxy takes no statements now, as it is stopping or can't reach the database.
+    void refused(const Core::NodeName &, Core::Instant now);
+    /// A statement was sent over the link.
+    void asked(const Core::NodeName &, Core::Instant now);
+    /// Something came over the link.
+    void heard(const Core::NodeName &, Core::Instant now);
+    /// A statement was answered or given up.
+    void settled(const Core::NodeName &);
+
+    struct Review
+    {
+        std::vector<Core::NodeName> toPing; ///< They owe an answer and are quiet.
+        std::vector<Core::NodeName> silent; ///< They answered no ping, or didn't open in time.
+    };
+    /// To be called every pingPatience at most while statements are under way.
+    [[nodiscard]] Review review(Core::Instant now);
+
+private:
+    struct Contact
+    {
+        Link link = Link::Closed;
+        Core::Instant since;      ///< Of an opening link.
+        Core::Instant avoidUntil; ///< It isn't chosen before.
+        unsigned failures = 0;    ///< In a row, without an answer.
+        unsigned outstanding = 0; ///< Statements without an answer.
+        Core::Instant quietSince; ///< Nothing came since, though something is outstanding.
+        Core::Instant pingedAt;   ///< Not answered yet; the origin if there is none.
+    };
+
+    void avoid(Contact &, Core::Instant now);
+    /// The first in rank that isn't avoided, which may be this proxy; null if there is none.
+    [[nodiscard]] const PoolMember *first(const DatabaseEntry &, Core::Instant now);
+    [[nodiscard]] std::vector<std::size_t> rank(const DatabaseEntry &) const;
+
+    Core::NodeName self_;
+    std::vector<PoolMember> members_;
+    std::map<Core::DatabaseName, std::vector<std::size_t>> ranked_; ///< The first few members.
+    std::map<Core::NodeName, Contact> contacts_;
+};
+
+} // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/Session.h
+++ b/Libraries/Sessions/Session.h
@@ -41,6 +41,14 @@
     [[nodiscard]] bool isExecuting() const { return stage == Stage::Executing; }
 };
 
+/// Where a statement has to run that another proxy forwarded.
+struct ForwardedNeed
+{
+    Core::DatabaseName database;
+    bool isPrimaryNeeded = false;
+    std::optional<Core::LogMark> atLeast;
+};
+
 enum class TransactionStage {
     None,
     Announced, ///< The caller was told that it began; no database knows of it yet.
@@ -62,6 +70,8 @@
     StatementKind beginKind = StatementKind::Begin;
     ConnectionId pinned = 0;
     std::shared_ptr<const Route> route; ///< Of the running operation or transaction.
+    /// Set if the caller is another proxy's, which has admitted and placed the operation.
+    std::optional<ForwardedNeed> forwarded;
 
     std::optional<Operation> running;
     std::optional<Statement> atAdmission; ///< Waits for its team's rate.
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -7,8 +7,10 @@
 /// What the control plane tells, and what time brings.
 namespace Chervilpin::Sessions {
 
-SessionEngine::SessionEngine(Core::DataCentreName dataCentre, Core::Instant now)
+SessionEngine::SessionEngine(Core::NodeName self, Core::DataCentreName dataCentre,
+                             Core::Instant now)
     : dataCentre_(std::move(dataCentre))
+    , poolers_(std::move(self))
     , table_(std::make_shared<const RoutingTable>())
     , reviewAt_(now)
 { }
@@ -19,7 +21,8 @@
     for (const auto &[name, limits] : table_->groups)
         groups_[name].name = name;
     for (auto &[id, session] : sessions_) {
-        if (session.isEnding)
+        // Whether a forwarded session goes on is for the proxy to say that has the caller.
+        if (session.isEnding || session.forwarded)
             continue;
         const auto route = table_->findRoute(session.databaseName);
         const auto *team = table_->findTeam(session.key);
@@ -132,13 +135,12 @@
 
 void SessionEngine::cutDatabase(const Core::DatabaseName &name, const char *why, Core::Instant now)
 {
-    Database *database = findDatabase(name);
-    if (!database)
-        return;
+    // Channels through its pooler belong to it, too.
     std::vector<ConnectionId> busy;
-    for (const ConnectionId id : database->connections) {
-        const auto state = connections_.at(id).state;
-        if (state != Connection::State::Idle && state != Connection::State::Opening)
+    for (const auto &[id, connection] : connections_) {
+        const bool isBusy = connection.state != Connection::State::Idle
+            && connection.state != Connection::State::Opening;
+        if (connection.database == name && isBusy)
             busy.push_back(id);
     }
     if (busy.empty())
@@ -194,7 +196,7 @@
         const bool isQueued = session.running->stage == Operation::Stage::Queued;
         consider(isQueued ? std::min(session.running->queueUntil, session.running->deadline)
                           : session.running->deadline);
-    } else if (session.transaction == TransactionStage::Open) {
+    } else if (session.transaction == TransactionStage::Open && !session.forwarded) {
         consider(session.lastActive + table_->transactionIdle);
     }
     return due;
@@ -241,7 +243,7 @@
         return;
     }
     if (!session.running) {
-        if (session.transaction != TransactionStage::Open
+        if (session.transaction != TransactionStage::Open || session.forwarded
             || now < session.lastActive + table_->transactionIdle)
             return;
         Connection *connection = findConnection(session.pinned);
@@ -266,6 +268,10 @@
     operation.attempts = maximumAttempts;
     log(Importance::Always, "statement_timeout",
         {{"id", operation.statement.id}, {"database", operation.database.value()}});
+    Database *database = findDatabase(operation.database);
+    // Whether the database or its pooler is at fault shows on connections of this proxy's own.
+    if (database && connections_.at(operation.connection).isChannel())
+        database->directUntil = now + poolerAvoidTime;
     drop(operation.connection, now);
 }
 
@@ -296,6 +302,7 @@
         noteFailure(databases_.at(connection->database), now);
         drop(id, now);
     }
+    reviewLinks(now);
     closeIdle(now);
     if (isAnyBusy || !statusWanted_.empty())
         scheduleReview(now + reviewInterval);
@@ -322,7 +329,7 @@
 {
     std::vector<ConnectionId> rested;
     for (const auto &[name, database] : databases_) {
-        if (database.connections.empty() || connectionLimits(database).areIdleKept)
+        if (database.connections.empty() || connectionLimits(database, now).areIdleKept)
             continue;
         for (const ConnectionId id : database.connections) {
             const Connection &connection = connections_.at(id);
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -5,6 +5,7 @@
 #include <Sessions/ConnectionLimits.h>
 #include <Sessions/Database.h>
 #include <Sessions/Placement.h>
+#include <Sessions/PoolerTable.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/Session.h>
 
@@ -37,14 +38,16 @@
 class SessionEngine
 {
 public:
-    /// \a dataCentre is the proxy's own.
-    SessionEngine(Core::DataCentreName dataCentre, Core::Instant now);
+    /// \a self and \a dataCentre are the proxy's own.
+    SessionEngine(Core::NodeName self, Core::DataCentreName dataCentre, Core::Instant now);
 
     // The control plane.
     void configure(RoutingTablePointer, Core::Instant now);
     void directoryChanged(std::span<const DatabaseEntry>, Core::Instant now);
     void grantPrimary(const PrimaryGrant &, Core::Instant now);
     void setMemberCount(std::size_t, Core::Instant now);
+    /// Sets the proxies that may keep connections for the fleet, with this one.
+    void setPoolMembers(std::vector<PoolMember>, Core::Instant now);
     /// Asks for a status as soon as a connection allows; never answered if the database is silent.
     void askStatus(const Core::DatabaseName &, Core::Instant now);
     /// Ends all sessions as they come to rest; transactions have until \a transactionsUntil.
@@ -66,6 +69,17 @@
     void connectionEnded(ConnectionId, std::optional<Failure> reason, Core::Instant now);
     void reply(ConnectionId, DatabaseReply, Core::Instant now);
 
+    // Links to poolers, and what comes over them.
+    void linkOpened(const Core::NodeName &, Core::Instant now);
+    void linkLost(const Core::NodeName &, Core::Instant now);
+    void linkHeard(const Core::NodeName &, Core::Instant now);
+    void forwardedReply(ConnectionId channel, ForwardedReply, Core::Instant now);
+    /// The other proxy gave the channel up.
+    void channelClosed(ConnectionId, Core::Instant now);
+    /// A statement that another proxy forwards. \a session stands for the channel there, and ends
+    /// by sessionClosed().
+    void forwardedStatement(SessionId session, ForwardedStatement, Core::Instant now);
+
     /// When advance() is to be called at the latest.
     [[nodiscard]] Core::Instant nextDeadline();
     void advance(Core::Instant now);
@@ -107,16 +121,31 @@
                                             Core::Instant now);
     [[nodiscard]] Connection *findIdle(const Database &, const Core::TeamName &,
                                        const SessionValues &);
-    [[nodiscard]] double evictionRate(const Database &) const;
+    [[nodiscard]] double evictionRate(const Database &);
     [[nodiscard]] const Connection *findVictim(const Database &) const;
     [[nodiscard]] bool isAnyShortlyLent(const Database &, const Core::TeamName &) const;
     [[nodiscard]] bool isOpening(const Database &, const Core::TeamName &) const;
     void openFor(Database &, const Core::TeamName &, Core::Duration waited, Core::Instant now);
-    [[nodiscard]] ConnectionLimits connectionLimits(const Database &) const;
+    [[nodiscard]] ConnectionLimits connectionLimits(const Database &, Core::Instant now);
+    [[nodiscard]] std::optional<GroupLimits> limitsOf(const Database &) const;
     void lend(Session &, Connection &, Core::Instant now);
     void proceed(Session &, Core::Instant now);
     void send(Connection &, Purpose, Statement, std::optional<Core::LogMark>, Core::Instant now);
 
+    // Forwarding to poolers, and for other proxies.
+    [[nodiscard]] const PoolMember *poolerOf(const Database &, Core::Instant now);
+    [[nodiscard]] bool isPooled(const Database &) const;
+    void openLinkTo(const PoolMember &, Core::Instant now);
+    void lendChannel(Session &, Database &, const PoolMember &, Core::Instant now);
+    void forward(Session &, Connection &, Core::Instant now);
+    void forwardingRefused(Connection &, const ForwardedReply &, Core::Instant now);
+    void refuseForwarded(SessionId, ForwardedProgress, std::string why);
+    [[nodiscard]] std::optional<std::string> reasonToRefuse(const ForwardedNeed &, const Group &,
+                                                            Core::Instant now);
+    [[nodiscard]] bool placeForwarded(Session &, Core::Instant now);
+    void reviewLinks(Core::Instant now);
+    void dispatchAll(Core::Instant now);
+
     // Answers.
     void setupReplied(Connection &, const DatabaseReply &, Core::Instant now);
     void beginReplied(Connection &, const DatabaseReply &, Core::Instant now);
@@ -129,7 +158,8 @@
     void finish(Session &, DatabaseReply, Core::Instant now);
     void fail(Session &, Failure, std::string text, Core::Instant now);
     void answer(Session &, DatabaseReply, Core::Instant now);
-    void logEnded(const Session &, const CountOutcome &, bool isFailure, const std::string &text);
+    void answerForwarded(Session &, DatabaseReply, Core::Instant now);
+    void logEnded(const Session &, std::string name, const CountOutcome &, const std::string &text);
     void operationEnded(Session &, Core::Instant now);
     void lost(Session &, const char *why, Core::Instant now);
 
@@ -171,6 +201,7 @@
     };
 
     Core::DataCentreName dataCentre_;
+    PoolerTable poolers_;
     RoutingTablePointer table_; ///< An empty one of version 0 until a configuration is known.
     std::unordered_map<SessionId, Session> sessions_;
     std::unordered_map<ConnectionId, Connection> connections_;
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -165,6 +165,9 @@
 
 void SessionEngine::returnAdmission(const Session &session)
 {
+    // The proxy that has the caller admitted it.
+    if (session.forwarded)
+        return;
     // Only the first statement of an operation is queued.
     const bool isUnsent = session.running && session.running->stage == Operation::Stage::Queued
         && !session.running->firstSentAt;
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -82,18 +82,32 @@
 void SessionEngine::forget(ConnectionId id)
 {
     const auto found = connections_.find(id);
-    if (Database *database = findDatabase(found->second.database)) {
-        const auto owed = static_cast<unsigned>(found->second.owed.size());
+    const Connection &connection = found->second;
+    const auto owed = static_cast<unsigned>(connection.owed.size());
+    if (Database *database = findDatabase(connection.database)) {
         database->outstanding -= std::min(database->outstanding, owed);
         database->connections.erase(id);
     }
+    if (!connection.isChannel())
+        actions_.emplace_back(CloseConnection{id});
+    if (connection.isChannel() && owed > 0)
+        poolers_.settled(connection.pooler);
+    // A channel without either ended with its last answer.
+    if (connection.isChannel() && (owed > 0 || connection.isInTransaction))
+        actions_.emplace_back(CloseChannel{connection.pooler, id});
     connections_.erase(found);
-    actions_.emplace_back(CloseConnection{id});
 }
 
 void SessionEngine::release(Connection &connection, Core::Instant now)
 {
     VERIFY(!connection.isInTransaction && connection.owed.empty());
+    if (connection.isChannel()) {
+        Group &group = groups_.at(connection.group);
+        forget(connection.id);
+        releaseOldPrimary(group, now);
+        dispatch(group, now);
+        return;
+    }
     const Database &database = databases_.at(connection.database);
     connection.session = 0;
     connection.enter(Connection::State::Idle, now);
@@ -112,6 +126,12 @@
 void SessionEngine::abandon(Connection &connection, Core::Instant now)
 {
     connection.session = 0;
+    if (connection.isChannel()) {
+        Group &group = groups_.at(connection.group);
+        forget(connection.id);
+        releaseOldPrimary(group, now);
+        return;
+    }
     if (!connection.owed.empty() && connection.owed.back().purpose != Purpose::Cleanup) {
         // Cleaned when the answer comes; reviewConnections() bounds the wait.
         connection.enter(Connection::State::Cleaning, now);
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -65,7 +65,7 @@
     std::vector<Placement::Candidate> result;
     const auto &avoided = session.running->avoided;
     for (std::size_t i = 0; i < group.databases.size(); ++i) {
-        const Database &database = databases_.at(group.databases[i]);
+        Database &database = databases_.at(group.databases[i]);
         const bool isPrimary = group.primary == database.entry.id;
         const bool isDraining = database.entry.availability == DatabaseAvailability::Draining;
         if (database.isGone || std::ranges::find(avoided, database.entry.id) != avoided.end())
@@ -80,10 +80,17 @@
         candidate.isPrimary = isPrimary;
         candidate.isNear = database.entry.dataCentre == dataCentre_;
         candidate.outstanding = database.outstanding;
-        candidate.limit = Placement::statementLimit(database.entry.slots, memberCount_);
+        candidate.limit = isPooled(database) && poolers_.isSelf(database.entry, now)
+            ? Placement::poolerLimit(database.entry.slots)
+            : Placement::statementLimit(database.entry.slots, memberCount_);
         candidate.serviceMilliseconds = database.serviceMilliseconds;
-        candidate.hasConnection = findIdle(database, session.team, session.state.values());
-        candidate.canOpen = now >= database.openAfter;
+        if (const PoolMember *pooler = poolerOf(database, now)) {
+            candidate.hasConnection = poolers_.linkTo(pooler->node) == PoolerTable::Link::Up;
+            candidate.canOpen = true;
+        } else {
+            candidate.hasConnection = findIdle(database, session.team, session.state.values());
+            candidate.canOpen = now >= database.openAfter;
+        }
         result.push_back(candidate);
     }
     return result;
@@ -101,14 +108,22 @@
 
 bool SessionEngine::place(Session &session, Group &group, Core::Instant now)
 {
+    if (session.forwarded)
+        return placeForwarded(session, now);
     const auto need = needOf(session, group, now);
     const auto options = candidates(session, group, need, now);
     const auto chosen = Placement::choose(need, options);
     if (!chosen)
         return false;
     Database &database = databases_.at(group.databases[*chosen]);
-    Connection *connection = findIdle(database, session.team, session.state.values());
-    if (!connection) {
+    const PoolMember *pooler = poolerOf(database, now);
+    Connection *connection =
+        pooler ? nullptr : findIdle(database, session.team, session.state.values());
+    if (pooler && poolers_.linkTo(pooler->node) != PoolerTable::Link::Up) {
+        openLinkTo(*pooler, now);
+        return false;
+    }
+    if (!pooler && !connection) {
         if (!isOpening(database, session.team))
             openFor(database, session.team, now - session.running->arrived, now);
         return false;
@@ -117,7 +132,10 @@
     session.running->isOnReplica = isReplica;
     session.running->atLeast = isReplica ? need.mark : std::nullopt;
     database.askedAt = now;
-    lend(session, *connection, now);
+    if (pooler)
+        lendChannel(session, database, *pooler, now);
+    else
+        lend(session, *connection, now);
     return true;
 }
 
@@ -144,19 +162,30 @@
     });
 }
 
-ConnectionLimits SessionEngine::connectionLimits(const Database &database) const
+std::optional<GroupLimits> SessionEngine::limitsOf(const Database &database) const
 {
     const auto group = table_->groups.find(database.entry.group);
-    if (group == table_->groups.end())
+    return group == table_->groups.end() ? std::nullopt : std::optional(group->second);
+}
+
+ConnectionLimits SessionEngine::connectionLimits(const Database &database, Core::Instant now)
+{
+    const auto limits = limitsOf(database);
+    if (!limits)
         return {};
-    return ConnectionLimits::divide(group->second.maximumConnections, memberCount_,
-                                    table_->teams.size());
+    if (!isPooled(database))
+        return ConnectionLimits::divide(limits->maximumConnections, memberCount_,
+                                        table_->teams.size());
+    return poolers_.isSelf(database.entry, now)
+        ? ConnectionLimits::forPooler(limits->maximumConnections)
+        : ConnectionLimits::besidePooler(limits->maximumConnections);
 }
 
-double SessionEngine::evictionRate(const Database &database) const
+double SessionEngine::evictionRate(const Database &database)
 {
     const double slotMilliseconds = 1'000.0 * database.entry.slots * evictionSlotFraction;
-    return slotMilliseconds / openSlotMilliseconds / static_cast<double>(memberCount_);
+    const std::size_t proxies = isPooled(database) ? 1 : memberCount_;
+    return slotMilliseconds / openSlotMilliseconds / static_cast<double>(proxies);
 }
 
 const Connection *SessionEngine::findVictim(const Database &database) const
@@ -196,7 +225,7 @@
 {
     if (now < database.openAfter)
         return;
-    if (database.connections.size() >= connectionLimits(database).open) {
+    if (database.connections.size() >= connectionLimits(database, now).open) {
         const Connection *victim = findVictim(database);
         if (!victim)
             return;
@@ -247,6 +276,10 @@
 {
     Operation &operation = *session.running;
     Connection &connection = connections_.at(operation.connection);
+    if (connection.isChannel()) {
+        forward(session, connection, now);
+        return;
+    }
     const Statement &statement = operation.statement;
     const PreparedShape *shape = statement.kind == StatementKind::Execute
         ? session.state.findPrepared(statement.name)
--- /dev/null
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -0,0 +1,289 @@
+#include <Sessions/SessionEngine.h>
+
+#include <Sessions/Timing.h>
+
+/// Statements that run through another proxy, and those that other proxies run through this one.
+namespace Chervilpin::Sessions {
+
+void SessionEngine::setPoolMembers(std::vector<PoolMember> members, Core::Instant now)
+{
+    poolers_.setMembers(std::move(members));
+    dispatchAll(now);
+}
+
+bool SessionEngine::isPooled(const Database &database) const
+{
+    const auto limits = limitsOf(database);
+    return limits
+        && ConnectionLimits::isPoolerNeeded(limits->maximumConnections, memberCount_,
+                                            table_->teams.size());
+}
+
+const PoolMember *SessionEngine::poolerOf(const Database &database, Core::Instant now)
+{
+    if (now < database.directUntil || !isPooled(database))
+        return nullptr;
+    return poolers_.choose(database.entry, now);
+}
+
+// The proxy that has the caller.
+
+void SessionEngine::openLinkTo(const PoolMember &pooler, Core::Instant now)
+{
+    if (poolers_.linkTo(pooler.node) == PoolerTable::Link::Opening)
+        return;
+    poolers_.opening(pooler.node, now);
+    actions_.emplace_back(OpenLink{pooler.node, pooler.address});
+    scheduleReview(now + linkOpenTime);
+}
+
+void SessionEngine::lendChannel(Session &session, Database &database, const PoolMember &pooler,
+                                Core::Instant now)
+{
+    Connection channel;
+    channel.id = nextConnection_++;
+    channel.group = database.entry.group;
+    channel.database = database.entry.id;
+    channel.team = session.team;
+    channel.pooler = pooler.node;
+    channel.since = now;
+    const auto added = connections_.emplace(channel.id, std::move(channel)).first;
+    lend(session, added->second, now);
+}
+
+void SessionEngine::forward(Session &session, Connection &channel, Core::Instant now)
+{
+    Operation &operation = *session.running;
+    operation.stage = Operation::Stage::Executing;
+    ForwardedStatement message;
+    message.group = channel.group;
+    message.database = channel.database;
+    message.team = session.team;
+    message.route = session.route->name;
+    message.priority = session.route->priority;
+    message.statementTimeout = operation.deadline - now;
+    message.patience = operation.queueUntil - now;
+    message.isPrimaryNeeded = !operation.isOnReplica;
+    message.atLeast = operation.atLeast;
+    if (session.transaction == TransactionStage::Announced)
+        message.begin = session.beginKind;
+    message.values = session.state.values();
+    message.statement = operation.statement;
+    if (message.statement.kind == StatementKind::Execute) {
+        if (const PreparedShape *shape = session.state.findPrepared(message.statement.name))
+            message.shape = *shape;
+    }
+    channel.owed.push_back({Purpose::Caller, now});
+    poolers_.asked(channel.pooler, now);
+    if (Database *database = findDatabase(channel.database))
+        ++database->outstanding;
+    actions_.emplace_back(ForwardStatement{channel.pooler, channel.id, std::move(message)});
+    scheduleReview(now + reviewInterval);
+}
+
+void SessionEngine::forwardedReply(ConnectionId id, ForwardedReply forwarded, Core::Instant now)
+{
+    Connection *channel = findConnection(id);
+    if (!channel || channel->owed.empty())
+        return;
+    const Connection::Owed owed = channel->owed.front();
+    channel->owed.pop_front();
+    poolers_.settled(channel->pooler);
+    DatabaseReply &reply = forwarded.reply;
+    // What the other proxy answers by itself says nothing of the database.
+    if (reply.mark)
+        noteReply(*channel, reply, owed, now);
+    else if (Database *database = findDatabase(channel->database))
+        database->outstanding -= std::min(database->outstanding, 1U);
+    if (forwarded.progress == ForwardedProgress::NotAccepted
+        || forwarded.progress == ForwardedProgress::Stopping) {
+        forwardingRefused(*channel, forwarded, now);
+        return;
+    }
+    Session *session = findSession(channel->session);
+    const bool isBeginning = session && session->running && session->running->connection == id
+        && session->transaction == TransactionStage::Announced;
+    if (isBeginning && forwarded.progress == ForwardedProgress::NotSent) {
+        beginReplied(*channel, reply, now);
+        return;
+    }
+    if (isBeginning) {
+        session->transaction = TransactionStage::Open;
+        session->pinned = id;
+    }
+    callerReplied(*channel, reply, owed, now);
+}
+
+void SessionEngine::forwardingRefused(Connection &channel, const ForwardedReply &forwarded,
+                                      Core::Instant now)
+{
+    log(Importance::Sampled, "forwarding_refused",
+        {{"node", channel.pooler.value()},
+         {"database", channel.database.value()},
+         {"why", forwarded.reply.failureText}});
+    Database *database = findDatabase(channel.database);
+    if (forwarded.progress == ForwardedProgress::Stopping)
+        poolers_.refused(channel.pooler, now);
+    else if (database)
+        database->directUntil = now + poolerAvoidTime;
+    Session *session = findSession(channel.session);
+    const ConnectionId id = channel.id;
+    Group &group = groups_.at(channel.group);
+    forget(id);
+    releaseOldPrimary(group, now);
+    if (!session || !session->running || session->running->connection != id)
+        return;
+    // It goes on as if it had not been tried there.
+    Operation &operation = *session->running;
+    operation.stage = Operation::Stage::Queued;
+    operation.connection = 0;
+    if (--operation.attempts == 0)
+        operation.firstSentAt.reset();
+    group.queue.insert(group.queue.begin(), session->id);
+    wakeAt(session->id, operation.queueUntil);
+    scheduleReview(now);
+}
+
+void SessionEngine::channelClosed(ConnectionId id, Core::Instant now)
+{
+    if (findConnection(id))
+        drop(id, now);
+}
+
+void SessionEngine::linkOpened(const Core::NodeName &node, Core::Instant now)
+{
+    poolers_.opened(node, now);
+    dispatchAll(now);
+}
+
+void SessionEngine::linkHeard(const Core::NodeName &node, Core::Instant now)
+{
+    poolers_.heard(node, now);
+}
+
+void SessionEngine::linkLost(const Core::NodeName &node, Core::Instant now)
+{
+    if (poolers_.linkTo(node) == PoolerTable::Link::Closed)
+        return;
+    std::vector<ConnectionId> channels;
+    for (const auto &[id, connection] : connections_) {
+        if (connection.pooler == node)
+            channels.push_back(id);
+    }
+    log(Importance::Always, "link_lost",
+        {{"node", node.value()}, {"channels", std::to_string(channels.size())}});
+    poolers_.lost(node, now);
+    for (const ConnectionId id : channels) {
+        if (findConnection(id))
+            drop(id, now);
+    }
+    scheduleReview(now);
+}
+
+void SessionEngine::reviewLinks(Core::Instant now)
+{
+    const auto review = poolers_.review(now);
+    for (const auto &node : review.toPing)
+        actions_.emplace_back(PingLink{node});
+    for (const auto &node : review.silent) {
+        actions_.emplace_back(CloseLink{node});
+        linkLost(node, now);
+    }
+}
+
+void SessionEngine::dispatchAll(Core::Instant now)
+{
+    for (auto &[name, group] : groups_) {
+        if (!group.queue.empty())
+            dispatch(group, now);
+    }
+}
+
+// The pooler.
+
+void SessionEngine::forwardedStatement(SessionId id, ForwardedStatement message, Core::Instant now)
+{
+    const bool isNew = !sessions_.contains(id);
+    if (isNew && isStopping_) {
+        refuseForwarded(id, ForwardedProgress::Stopping, "the proxy is stopping");
+        return;
+    }
+    Session &session = sessions_[id];
+    if (session.isBusy()) {
+        refuseForwarded(id, ForwardedProgress::NotAccepted, "the channel is busy");
+        return;
+    }
+    if (isNew) {
+        auto route = std::make_shared<Route>();
+        route->name = message.route;
+        route->group = message.group;
+        route->priority = message.priority;
+        route->statementTimeout = message.statementTimeout;
+        route->objective = message.patience * 2;
+        session.id = id;
+        session.team = message.team;
+        session.route = std::move(route);
+        session.forwarded = {message.database, message.isPrimaryNeeded, message.atLeast};
+    }
+    session.lastActive = now;
+    session.state.replaceValues(std::move(message.values));
+    if (message.shape)
+        session.state.prepare(message.statement.name, std::move(*message.shape));
+    if (message.begin && session.transaction == TransactionStage::None) {
+        session.transaction = TransactionStage::Announced;
+        session.beginKind = *message.begin;
+    }
+    if (session.transaction == TransactionStage::Failed)
+        start(session, std::move(message.statement), now);
+    else
+        startOperation(session, std::move(message.statement), now);
+}
+
+void SessionEngine::refuseForwarded(SessionId id, ForwardedProgress progress, std::string why)
+{
+    ForwardedReply refusal;
+    refusal.progress = progress;
+    refusal.reply.failure = Failure::Busy;
+    refusal.reply.failureText = std::move(why);
+    actions_.emplace_back(AnswerForwarded{id, std::move(refusal)});
+}
+
+std::optional<std::string> SessionEngine::reasonToRefuse(const ForwardedNeed &need,
+                                                         const Group &group, Core::Instant now)
+{
+    const Database *database = findDatabase(need.database);
+    if (!database || database->isGone)
+        return "the database isn't known here";
+    const bool isPrimary = group.primary == need.database && group.mayUsePrimary(now);
+    if (need.isPrimaryNeeded && !isPrimary)
+        return "this proxy has no right to the primary";
+    if (database->troubleSince != Core::Instant() && now < database->openAfter)
+        return "the database can't be reached from here";
+    return {};
+}
+
+bool SessionEngine::placeForwarded(Session &session, Core::Instant now)
+{
+    const ForwardedNeed &need = *session.forwarded;
+    Group &group = groupOf(session);
+    if (auto why = reasonToRefuse(need, group, now)) {
+        refuseForwarded(session.id, ForwardedProgress::NotAccepted, std::move(*why));
+        session.running.reset();
+        return true;
+    }
+    Database &database = *findDatabase(need.database);
+    if (database.outstanding >= Placement::poolerLimit(database.entry.slots))
+        return false;
+    Connection *connection = findIdle(database, session.team, session.state.values());
+    if (!connection) {
+        if (!isOpening(database, session.team))
+            openFor(database, session.team, now - session.running->arrived, now);
+        return false;
+    }
+    session.running->isOnReplica = !need.isPrimaryNeeded;
+    session.running->atLeast = need.atLeast;
+    lend(session, *connection, now);
+    return true;
+}
+
+} // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -24,6 +24,19 @@
     }
 }
 
+constexpr std::string_view doneOutcome = "done";
+
+CountOutcome outcomeOf(const Operation &operation, std::optional<Failure> failure,
+                       Core::Instant now)
+{
+    CountOutcome outcome;
+    outcome.outcome = failure ? toString(*failure) : doneOutcome;
+    outcome.isOnReplica = operation.isOnReplica;
+    outcome.time = now - operation.arrived;
+    outcome.queued = operation.firstSentAt.value_or(now) - operation.arrived;
+    return outcome;
+}
+
 } // namespace
 
 void SessionEngine::reply(ConnectionId id, DatabaseReply reply, Core::Instant now)
@@ -192,8 +205,9 @@
     const bool isAgainPossible = failure == Failure::UnknownPrepared;
     if (!isElsewherePossible && !isAgainPossible)
         return false;
-    // On the primary there is nowhere else to go; the caller gets the database's own answer.
-    if (isElsewherePossible && !operation.isOnReplica)
+    // On the primary there is nowhere else to go, and a forwarded statement's own proxy decides
+    // where else to; the caller gets the database's own answer.
+    if (isElsewherePossible && (!operation.isOnReplica || session.forwarded))
         return false;
     if (operation.attempts >= maximumAttempts || now >= operation.deadline)
         return false;
@@ -242,25 +256,25 @@
 
 void SessionEngine::answer(Session &session, DatabaseReply reply, Core::Instant now)
 {
+    const bool isPassedOn =
+        session.transaction == TransactionStage::Open && session.running.has_value();
+    reply.state = isPassedOn ? reply.state : stateOf(session);
+    if (session.forwarded) {
+        answerForwarded(session, std::move(reply), now);
+        return;
+    }
     AnswerSession answered;
     answered.session = session.id;
     answered.body = std::move(reply.body);
     answered.failure = reply.failure;
     answered.text = std::move(reply.failureText);
     answered.mark = reply.mark;
-    const bool isPassedOn =
-        session.transaction == TransactionStage::Open && session.running.has_value();
-    answered.state = isPassedOn ? reply.state : stateOf(session);
+    answered.state = reply.state;
     if (session.running) {
-        const Operation &operation = *session.running;
-        CountOutcome outcome;
-        outcome.outcome = reply.failure ? std::string(toString(*reply.failure)) : "done";
-        outcome.isOnReplica = operation.isOnReplica;
-        outcome.time = now - operation.arrived;
-        outcome.queued = operation.firstSentAt.value_or(now) - operation.arrived;
+        CountOutcome outcome = outcomeOf(*session.running, reply.failure, now);
         // The line of a statement that ended well isn't even made if it would be left out.
         if (reply.failure || sampling_ == Sampling::Open)
-            logEnded(session, outcome, reply.failure.has_value(), answered.text);
+            logEnded(session, "statement_ended", outcome, answered.text);
         else
             ++sampledLinesSkipped_;
         actions_.emplace_back(std::move(outcome));
@@ -273,11 +287,32 @@
     startNext(session, now);
 }
 
-void SessionEngine::logEnded(const Session &session, const CountOutcome &outcome, bool isFailure,
+void SessionEngine::answerForwarded(Session &session, DatabaseReply reply, Core::Instant now)
+{
+    ForwardedReply answered;
+    if (session.running) {
+        const Operation &operation = *session.running;
+        answered.progress =
+            operation.isExecuting() ? ForwardedProgress::Sent : ForwardedProgress::NotSent;
+        if (reply.failure || sampling_ == Sampling::Open)
+            logEnded(session, "forwarded_ended", outcomeOf(operation, reply.failure, now),
+                     reply.failureText);
+        else
+            ++sampledLinesSkipped_;
+    }
+    session.running.reset();
+    session.lastActive = now;
+    // How long a caller may rest in a transaction is for its own proxy to say.
+    answered.reply = std::move(reply);
+    actions_.emplace_back(AnswerForwarded{session.id, std::move(answered)});
+}
+
+void SessionEngine::logEnded(const Session &session, std::string name, const CountOutcome &outcome,
                              const std::string &text)
 {
     const Operation &operation = *session.running;
-    log(isFailure ? Importance::Always : Importance::Sampled, "statement_ended",
+    const bool isFailure = outcome.outcome != doneOutcome;
+    log(isFailure ? Importance::Always : Importance::Sampled, std::move(name),
         {{"id", operation.statement.id},
          {"session", std::to_string(session.id)},
          {"team", session.team.value()},
--- a/Libraries/Sessions/SessionState.h
+++ b/Libraries/Sessions/SessionState.h
@@ -29,6 +29,7 @@
     {
         values_[std::string(name)] = value;
     }
+    void replaceValues(SessionValues values) { values_ = std::move(values); }
     void prepare(std::string_view name, PreparedShape shape)
     {
         prepared_[std::string(name)] = std::move(shape);
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -61,6 +61,16 @@
 /// How long the removal of this member's record is waited for.
 constexpr Core::Duration leaveTime{100};
 
+/// A pooler that owes an answer and was quiet for this long is pinged.
+constexpr Core::Duration pingAfter{100};
+/// A pooler that answers no ping within this is taken as gone. A round trip takes a few
+/// milliseconds, and a VM whose processor time is used up waits for a tenth of a second.
+constexpr Core::Duration pingPatience{200};
+/// How long a link to a pooler may take to open; a round trip and a lost packet's second try.
+constexpr Core::Duration linkOpenTime{300};
+/// A pooler that failed is avoided for this long, and for twice as long each time it fails again.
+constexpr Core::Duration poolerAvoidTime{1'000};
+
 /// How long a statement may wait for a database. A fifth of the objective leaves time for the
 /// statement itself, and for the caller to come back elsewhere.
 [[nodiscard]] inline Core::Duration queueTime(const Route &route)
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -33,7 +33,7 @@
     : context_(context)
     , settings_(std::move(settings))
     , stopped_(std::move(stopped))
-    , sessions_(settings_.dataCentre, Core::SteadyClock::now())
+    , sessions_(settings_.node, settings_.dataCentre, Core::SteadyClock::now())
     , fleet_({settings_.node, Core::newIncarnation(), settings_.dataCentre, settings_.peerListen,
               settings_.capacity},
              Core::SteadyClock::now())
@@ -62,6 +62,12 @@
                                     [this](std::string_view text) { peerDatagram(text); }));
     relayServer_ =
         TRY(RelayServer::create(context_, settings_.peerListen, relayDesk_, [this] { pump(); }));
+    forwardLinks_ =
+        TRY(ForwardLinks::create(context_, TRY(forwardAddressOf(settings_.peerListen)), sessions_,
+                                 {[this] { return nextSession_++; },
+                                  [this] {
+                                      pump();
+                                  }}));
     TRY(listen());
     startStoreLinks();
     Observe::log(Severity::Info, "started",
@@ -151,6 +157,7 @@
                     caller->second.connection->send(Adapter::encode(answer));
             },
             [&](const Sessions::EndSession &end) {
+                forwardLinks_->end(end.session);
                 const auto caller = callers_.find(end.session);
                 if (caller == callers_.end())
                     return;
@@ -173,6 +180,15 @@
                 if (link != databases_.end())
                     link->second.connection->send(Adapter::encode(send));
             },
+            [&](const Sessions::OpenLink &open) { forwardLinks_->perform(open); },
+            [&](const Sessions::CloseLink &close) { forwardLinks_->perform(close); },
+            [&](const Sessions::PingLink &ping) { forwardLinks_->perform(ping); },
+            [&](const Sessions::ForwardStatement &forward) {
+                metrics_.add("chervilpin_statements_forwarded_total", "");
+                forwardLinks_->perform(forward);
+            },
+            [&](const Sessions::CloseChannel &close) { forwardLinks_->perform(close); },
+            [&](const Sessions::AnswerForwarded &answer) { forwardLinks_->perform(answer); },
             [&](const Sessions::ReportHealth &report) {
                 fleet_.primaryHealth(report.group, report.health, report.mark, now);
             },
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -9,12 +9,13 @@
 #include <Http/Server.h>
 #include <Observe/Metrics.h>
 #include <Rates/RateDesk.h>
-#include <Services/SessionProxy/LineConnection.h>
+#include <Services/SessionProxy/ForwardLinks.h>
 #include <Services/SessionProxy/PeerSocket.h>
 #include <Services/SessionProxy/RelayServer.h>
 #include <Services/SessionProxy/SessionProxySettings.h>
 #include <Services/SessionProxy/StoreLink.h>
 #include <Services/SessionProxy/StoreSources.h>
+#include <Services/SessionProxy/StreamConnection.h>
 #include <Sessions/DirectoryView.h>
 #include <Sessions/SessionEngine.h>
 #include <Sessions/StopPlan.h>
@@ -131,6 +132,7 @@
     std::unique_ptr<Http::Server> metricsServer_;
     std::unique_ptr<PeerSocket> peers_;
     std::unique_ptr<RelayServer> relayServer_;
+    std::unique_ptr<ForwardLinks> forwardLinks_;
     std::unique_ptr<StoreSources> sources_;
     std::unique_ptr<StoreLink> recordsLink_;
     std::unique_ptr<StoreLink> configurationLink_;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -4,6 +4,7 @@
 #include <Core/SteadyClock.h>
 #include <Fleet/RelayTiming.h>
 #include <FleetWire/PeerMessageCodec.h>
+#include <Services/SessionProxy/Listening.h>
 #include <Services/SessionProxy/NodeTiming.h>
 
 #include <chrono>
@@ -17,20 +18,29 @@
 using Fleet::ObjectKind;
 using Observe::Severity;
 
+namespace {
+
+std::vector<Sessions::PoolMember> poolMembers(const Fleet::MembersChanged &change)
+{
+    std::vector<Sessions::PoolMember> members;
+    members.reserve(change.members.size());
+    for (const auto &member : change.members) {
+        auto address = forwardAddressOf(member.address);
+        if (address)
+            members.push_back(
+                {member.node, member.dataCentre, std::move(*address), member.capacity});
+        else
+            Observe::log(Severity::Warning, "address_unusable",
+                         {{"node", member.node.value()}, {"address", member.address}});
+    }
+    return members;
+}
+
+} // namespace
+
 Core::ErrorOr<std::monostate> Node::listen()
 {
-    const auto endpoint = TRY(Http::parseEndpoint(settings_.callerListen));
-    error_code error;
-    acceptor_.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        acceptor_.bind(endpoint, error);
-    if (!error)
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Core::failure(Core::ErrorCode::Unavailable,
-                             settings_.callerListen + " can't be bound: " + error.message());
+    TRY(listenOn(acceptor_, TRY(Http::parseEndpoint(settings_.callerListen))));
     acceptNext();
     return std::monostate();
 }
@@ -58,7 +68,7 @@
     }
     const Sessions::SessionId id = nextSession_++;
     LineConnection::Handlers handlers;
-    handlers.line = [this, id](std::string_view line) {
+    handlers.message = [this, id](std::string_view line) {
         callerLine(id, line);
     };
     handlers.closed = [this, id] {
@@ -132,7 +142,7 @@
     }
     const Sessions::ConnectionId id = open.connection;
     LineConnection::Handlers handlers;
-    handlers.line = [this, id](std::string_view line) {
+    handlers.message = [this, id](std::string_view line) {
         databaseLine(id, line);
     };
     handlers.closed = [this, id] {
@@ -388,6 +398,7 @@
     for (const auto &member : change.members)
         members.push_back({member.node, member.dataCentre, member.address});
     rates_.setMembers(std::move(members), change.known, now);
+    sessions_.setPoolMembers(poolMembers(change), now);
     sources_->setMembers(change.members,
                          fleet_.isLeader() ? Fleet::SourcePlan::Leading::Yes
                                            : Fleet::SourcePlan::Leading::No);
--- a/Services/SessionProxy/StreamConnection.cpp
+++ b/Services/SessionProxy/StreamConnection.cpp
@@ -1,4 +1,4 @@
-#include <Services/SessionProxy/LineConnection.h>
+#include <Services/SessionProxy/StreamConnection.h>
 
 #include <array>
 #include <utility>
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// One read takes this much; lines are mostly far shorter.
+/// One read takes this much; messages are mostly far shorter.
 constexpr std::size_t readBytesAtOnce = std::size_t{16} * 1024;
 /// A reader that is behind by more than this is taken as gone.
 constexpr std::size_t maximumOutputBytes = std::size_t{4} * 1024 * 1024;
@@ -24,12 +24,14 @@
 
 } // namespace
 
-LineConnection::LineConnection(asio::ip::tcp::socket socket, Handlers handlers)
+template<typename Buffer>
+StreamConnection<Buffer>::StreamConnection(asio::ip::tcp::socket socket, Handlers handlers)
     : socket_(std::move(socket))
     , handlers_(std::move(handlers))
 { }
 
-void LineConnection::start()
+template<typename Buffer>
+void StreamConnection<Buffer>::start()
 {
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -37,11 +39,13 @@
     waitForBytes();
 }
 
-void LineConnection::connect(const asio::ip::tcp::endpoint &endpoint, std::function<void()> opened)
+template<typename Buffer>
+void StreamConnection<Buffer>::connect(const asio::ip::tcp::endpoint &endpoint,
+                                       std::function<void()> opened)
 {
     isConnecting_ = true;
     socket_.async_connect(
-        endpoint, [self = shared_from_this(), opened = std::move(opened)](error_code error) {
+        endpoint, [self = this->shared_from_this(), opened = std::move(opened)](error_code error) {
             self->isConnecting_ = false;
             if (self->isClosed_)
                 return;
@@ -54,16 +58,19 @@
         });
 }
 
-void LineConnection::waitForBytes()
+template<typename Buffer>
+void StreamConnection<Buffer>::waitForBytes()
 {
-    socket_.async_wait(asio::socket_base::wait_read, [self = shared_from_this()](error_code error) {
-        if (error || self->isClosed_)
-            return;
-        self->readBytes();
-    });
+    socket_.async_wait(asio::socket_base::wait_read,
+                       [self = this->shared_from_this()](error_code error) {
+                           if (error || self->isClosed_)
+                               return;
+                           self->readBytes();
+                       });
 }
 
-void LineConnection::readBytes()
+template<typename Buffer>
+void StreamConnection<Buffer>::readBytes()
 {
     error_code error;
     const std::size_t count = socket_.read_some(asio::buffer(readBuffer()), error);
@@ -72,7 +79,7 @@
         return;
     }
     buffer_.feed(std::span(readBuffer()).first(count));
-    takeLines();
+    takeMessages();
     if (isClosed_)
         return;
     if (buffer_.isOverlong())
@@ -81,19 +88,21 @@
         waitForBytes();
 }
 
-void LineConnection::takeLines()
+template<typename Buffer>
+void StreamConnection<Buffer>::takeMessages()
 {
     while (!isClosed_ && !isFinishing_) {
-        const auto line = buffer_.next();
-        if (!line)
+        const auto message = buffer_.next();
+        if (!message)
             break;
-        handlers_.line(*line);
+        handlers_.message(*message);
     }
     if (const auto batchEnded = handlers_.batchEnded)
         batchEnded();
 }
 
-void LineConnection::send(std::string_view text)
+template<typename Buffer>
+void StreamConnection<Buffer>::send(std::string_view text)
 {
     if (isClosed_)
         return;
@@ -104,7 +113,8 @@
         fail();
 }
 
-void LineConnection::flush()
+template<typename Buffer>
+void StreamConnection<Buffer>::flush()
 {
     error_code error;
     const std::size_t count = socket_.write_some(asio::buffer(output_), error);
@@ -120,21 +130,23 @@
     }
     isWaitingToWrite_ = true;
     socket_.async_wait(asio::socket_base::wait_write,
-                       [self = shared_from_this()](error_code waitError) {
+                       [self = this->shared_from_this()](error_code waitError) {
                            self->isWaitingToWrite_ = false;
                            if (!waitError && !self->isClosed_)
                                self->flush();
                        });
 }
 
-void LineConnection::finish()
+template<typename Buffer>
+void StreamConnection<Buffer>::finish()
 {
     isFinishing_ = true;
     if (output_.empty())
         close();
 }
 
-void LineConnection::reset()
+template<typename Buffer>
+void StreamConnection<Buffer>::reset()
 {
     if (isClosed_)
         return;
@@ -143,7 +155,8 @@
     close();
 }
 
-void LineConnection::fail()
+template<typename Buffer>
+void StreamConnection<Buffer>::fail()
 {
     if (isClosed_)
         return;
@@ -154,7 +167,8 @@
     batchEnded();
 }
 
-void LineConnection::close()
+template<typename Buffer>
+void StreamConnection<Buffer>::close()
 {
     if (isClosed_)
         return;
@@ -163,4 +177,7 @@
     socket_.close(ignored);
 }
 
+template class StreamConnection<Adapter::LineBuffer>;
+template class StreamConnection<FleetWire::FrameBuffer>;
+
 } // namespace Chervilpin::SessionProxy
--- a/Services/SessionProxy/StreamConnection.h
+++ b/Services/SessionProxy/StreamConnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <FleetWire/FrameBuffer.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
@@ -9,21 +11,22 @@
 
 namespace Chervilpin::SessionProxy {
 
-/// A connection that carries lines, to a caller or to a database. Runs on one thread.
-class LineConnection : public std::enable_shared_from_this<LineConnection>
+/// A connection that carries messages, which a \a Buffer cuts from the bytes. Runs on one thread.
+template<typename Buffer>
+class StreamConnection : public std::enable_shared_from_this<StreamConnection<Buffer>>
 {
 public:
     struct Handlers
     {
-        /// Called for each line without its end; may close the connection.
-        std::function<void(std::string_view)> line;
-        /// Called once when the other end closed, or sent what can't be a line.
+        /// Called for each message; may close the connection.
+        std::function<void(std::string_view)> message;
+        /// Called once when the other end closed, or sent what can't be a message.
         std::function<void()> closed;
-        /// Called after each batch of lines.
+        /// Called after each batch of messages.
         std::function<void()> batchEnded;
     };
 
-    LineConnection(boost::asio::ip::tcp::socket, Handlers);
+    StreamConnection(boost::asio::ip::tcp::socket, Handlers);
 
     /// Starts to read an open connection.
     void start();
@@ -38,14 +41,14 @@
 private:
     void waitForBytes();
     void readBytes();
-    void takeLines();
+    void takeMessages();
     void flush();
     void fail();
     void close();
 
     boost::asio::ip::tcp::socket socket_;
     Handlers handlers_;
-    Adapter::LineBuffer buffer_;
+    Buffer buffer_;
     std::string output_;
     bool isWaitingToWrite_ = false;
     bool isConnecting_ = false;
@@ -53,4 +56,12 @@
     bool isClosed_ = false;
 };
 
+/// To a caller or to a database.
+using LineConnection = StreamConnection<Adapter::LineBuffer>;
+/// To another proxy.
+using FrameConnection = StreamConnection<FleetWire::FrameBuffer>;
+
+extern template class StreamConnection<Adapter::LineBuffer>;
+extern template class StreamConnection<FleetWire::FrameBuffer>;
+
 } // namespace Chervilpin::SessionProxy
--- /dev/null
+++ b/Tests/FleetWire/TestForwardCodec.cpp
@@ -0,0 +1,113 @@
+#include <FleetWire/ForwardCodec.h>
+#include <FleetWire/FrameBuffer.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Chervilpin;
+using namespace Chervilpin::FleetWire;
+using Chervilpin::Sessions::Failure;
+using Chervilpin::Sessions::ForwardedProgress;
+using Chervilpin::Sessions::StatementKind;
+using Chervilpin::Sessions::TransactionState;
+
+TEST_GROUP(ForwardCodec){};
+
+TEST(ForwardCodec, AStatementComesBackWhole)
+{
+    StatementFrame frame;
+    frame.channel = 77;
+    auto &statement = frame.statement;
+    statement.group = Core::GroupName("g");
+    statement.database = Core::DatabaseName("db");
+    statement.team = Core::TeamName("team");
+    statement.route = Core::RouteName("route");
+    statement.priority = 2;
+    statement.statementTimeout = Core::Duration(800);
+    statement.patience = Core::Duration(50);
+    statement.isPrimaryNeeded = true;
+    statement.atLeast = Core::LogMark{3, 1207};
+    statement.begin = StatementKind::BeginRead;
+    statement.values["name"] = "a value";
+    statement.shape = Sessions::PreparedShape{Sessions::Access::Write, "q2c"};
+    statement.statement = {"id", StatementKind::Execute, "s1", Sessions::Access::Read, "1a4 x"};
+    const auto decoded = decodeFrame(encode(frame));
+    CHECK(decoded.has_value());
+    const auto &back = std::get<StatementFrame>(*decoded);
+    LONGS_EQUAL(77, back.channel);
+    CHECK(back.statement.group == statement.group);
+    CHECK(back.statement.database == statement.database);
+    CHECK(back.statement.team == statement.team);
+    CHECK(back.statement.route == statement.route);
+    LONGS_EQUAL(2, back.statement.priority);
+    CHECK(back.statement.statementTimeout == statement.statementTimeout);
+    CHECK(back.statement.patience == statement.patience);
+    CHECK(back.statement.isPrimaryNeeded);
+    CHECK(back.statement.atLeast == statement.atLeast);
+    CHECK(back.statement.begin == statement.begin);
+    CHECK(back.statement.values == statement.values);
+    CHECK(back.statement.shape == statement.shape);
+    STRCMP_EQUAL("id", back.statement.statement.id.c_str());
+    CHECK(back.statement.statement.kind == StatementKind::Execute);
+    STRCMP_EQUAL("s1", back.statement.statement.name.c_str());
+    STRCMP_EQUAL("1a4 x", back.statement.statement.arguments.c_str());
+}
+
+TEST(ForwardCodec, EveryFailureAndProgressComesBack)
+{
+    for (int failure = 0; failure <= static_cast<int>(Failure::Other); ++failure) {
+        for (const auto progress : {ForwardedProgress::Stopping, ForwardedProgress::NotAccepted,
+                                    ForwardedProgress::NotSent, ForwardedProgress::Sent}) {
+            ReplyFrame frame;
+            frame.channel = 5;
+            frame.answer.progress = progress;
+            frame.answer.reply.failure = static_cast<Failure>(failure);
+            frame.answer.reply.failureText = "why";
+            frame.answer.reply.state = TransactionState::Failed;
+            const auto decoded = decodeFrame(encode(frame));
+            CHECK(decoded.has_value());
+            const auto &back = std::get<ReplyFrame>(*decoded);
+            CHECK(back.answer.progress == progress);
+            CHECK(back.answer.reply.failure == frame.answer.reply.failure);
+            CHECK(back.answer.reply.state == TransactionState::Failed);
+            CHECK(!back.answer.reply.mark);
+        }
+    }
+}
+
+TEST(ForwardCodec, WhatCannotBeReadIsRefused)
+{
+    CHECK(!decodeFrame("no protobuf \xff").has_value());
+    CHECK(!decodeFrame("").has_value());
+    // A statement without kind, group and database.
+    CHECK(!decodeFrame(encode(StatementFrame())).has_value());
+    const std::string whole = encode(PingFrame{1'000'000});
+    CHECK(!decodeFrame(whole.substr(0, whole.size() - 1)).has_value());
+}
+
+TEST(ForwardCodec, FramesAreCutFromBytesInAnyPieces)
+{
+    const std::string bytes = toFrame("first") + toFrame("") + toFrame(std::string(3'000, 'x'));
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{7}, bytes.size()}) {
+        FrameBuffer buffer;
+        std::vector<std::string> frames;
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            buffer.feed(std::span(bytes).subspan(at, std::min(piece, bytes.size() - at)));
+            while (const auto frame = buffer.next())
+                frames.emplace_back(*frame);
+        }
+        LONGS_EQUAL(3, frames.size());
+        STRCMP_EQUAL("first", frames[0].c_str());
+        LONGS_EQUAL(0, frames[1].size());
+        LONGS_EQUAL(3'000, frames[2].size());
+        CHECK(!buffer.isOverlong());
+    }
+}
+
+TEST(ForwardCodec, AnOverlongFrameIsNoticedBeforeItIsKept)
+{
+    FrameBuffer buffer;
+    const std::string start = toFrame(std::string(maximumFrameBytes + 1, 'x')).substr(0, 4);
+    buffer.feed(start);
+    CHECK(buffer.isOverlong());
+    CHECK(!buffer.next());
+}
--- a/Tests/Sessions/EngineFixture.h
+++ b/Tests/Sessions/EngineFixture.h
@@ -22,7 +22,7 @@
     static inline const Core::DataCentreName dataCentre{"dc-1"};
 
     EngineFixture()
-        : engine(dataCentre, now)
+        : engine(Core::NodeName("self"), dataCentre, now)
     {
         engine.configure(table(1), now);
         engine.directoryChanged(entries(), now);
--- /dev/null
+++ b/Tests/Sessions/FleetOfProxies.h
@@ -0,0 +1,516 @@
+#pragma once
+
+#include <Core/Overloaded.h>
+#include <Core/Random.h>
+#include <Sessions/SessionEngine.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Chervilpin::Sessions::Testing {
+
+/// Several session engines before one group of databases, with links, networks and slots of
+/// simulated time. Every proxy has the right to the primary unless a test takes it away.
+class FleetOfProxies
+{
+public:
+    struct Shape
+    {
+        unsigned proxies = 3; ///< Evenly spread over the data centres, as the databases are.
+        unsigned dataCentres = 3;
+        unsigned databases = 3; ///< The first is the primary.
+        unsigned teams = 8;
+        std::uint32_t slots = 2;
+        std::uint32_t connections = 16; ///< That a database takes.
+        Core::Duration serviceTime{9};
+        Core::Duration openTime{12};
+        Core::Duration nearDelay{0};
+        Core::Duration farDelay{1};
+        bool hasPoolers = true; ///< Else each proxy has connections of its own only.
+    };
+
+    struct Counts
+    {
+        unsigned openings = 0;
+        unsigned connectionsRefused = 0;
+    };
+
+    static inline const Core::GroupName group{"g"};
+
+    explicit FleetOfProxies(const Shape &shape)
+        : shape_(shape)
+    {
+        for (unsigned i = 0; i < shape.proxies; ++i)
+            proxies_.emplace_back(nodeName(i), dataCentreOf(i), now_);
+        for (unsigned i = 0; i < shape.databases; ++i)
+            databases_[databaseName(i)].dataCentre = dataCentreOf(i);
+        for (unsigned i = 0; i < shape.proxies; ++i)
+            introduce(i);
+    }
+
+    static Core::NodeName nodeName(unsigned index)
+    {
+        return Core::NodeName("proxy-" + std::to_string(index));
+    }
+    static Core::DatabaseName databaseName(unsigned index)
+    {
+        return Core::DatabaseName("db-" + std::to_string(index));
+    }
+    static std::string keyOf(unsigned team) { return "key-" + std::to_string(team); }
+
+    SessionEngine &proxy(unsigned index) { return proxies_[index].engine; }
+    [[nodiscard]] Core::Instant now() const { return now_; }
+    [[nodiscard]] Counts counts() const { return counts_; }
+
+    /// The proxy that keeps the connections to a database, by what they really opened.
+    [[nodiscard]] std::set<unsigned> proxiesConnectedTo(unsigned database) const
+    {
+        std::set<unsigned> result;
+        for (const auto &[key, connection] : connections_) {
+            if (connection.database == databaseName(database))
+                result.insert(key.first);
+        }
+        return result;
+    }
+    [[nodiscard]] std::size_t openTransactions() const
+    {
+        std::size_t count = 0;
+        for (const auto &[key, connection] : connections_)
+            count += connection.isInTransaction ? 1 : 0;
+        return count;
+    }
+
+    /// Opens a session at a proxy; answers are kept by session.
+    SessionId open(unsigned proxy, unsigned team, const std::string &route = "own")
+    {
+        const SessionId id = nextSession_++;
+        proxies_[proxy].engine.sessionOpened(id, route, keyOf(team), now_);
+        drain(proxy);
+        return id;
+    }
+    void close(unsigned proxy, SessionId session)
+    {
+        proxies_[proxy].engine.sessionClosed(session, now_);
+        drain(proxy);
+    }
+    void say(unsigned proxy, SessionId session, StatementKind kind, std::string arguments = {})
+    {
+        Statement statement;
+        statement.id = "id-" + std::to_string(nextStatement_++);
+        statement.kind = kind;
+        statement.arguments = std::move(arguments);
+        proxies_[proxy].engine.statement(session, std::move(statement), now_);
+        drain(proxy);
+    }
+    [[nodiscard]] std::optional<AnswerSession> takeAnswer(SessionId session)
+    {
+        auto found = answers_.find(session);
+        if (found == answers_.end() || found->second.empty())
+            return {};
+        AnswerSession answer = std::move(found->second.front());
+        found->second.pop_front();
+        return answer;
+    }
+
+    void at(Core::Instant when, std::function<void()> what)
+    {
+        events_.push({when, nextEvent_++, std::move(what)});
+    }
+    void pass(Core::Duration span)
+    {
+        const Core::Instant until = now_ + span;
+        for (;;) {
+            Core::Instant next = events_.empty() ? Core::Instant::never() : events_.top().at;
+            for (auto &proxy : proxies_)
+                next = std::min(
+                    next, proxy.isDown ? Core::Instant::never() : proxy.engine.nextDeadline());
+            if (next > until)
+                break;
+            now_ = std::max(now_, next);
+            while (!events_.empty() && events_.top().at <= now_) {
+                const auto what = events_.top().what;
+                events_.pop();
+                what();
+            }
+            for (unsigned i = 0; i < proxies_.size(); ++i) {
+                proxies_[i].engine.advance(now_);
+                drain(i);
+            }
+        }
+        now_ = until;
+    }
+
+    // Troubles.
+    /// The process is frozen: its connections stay, and it neither reads nor writes.
+    void freeze(unsigned proxy) { proxies_[proxy].isDown = true; }
+    /// The process is killed: all ends of its connections learn of it at once.
+    void kill(unsigned proxy)
+    {
+        proxies_[proxy].isDown = true;
+        std::erase_if(connections_, [&](const auto &entry) { return entry.first.first == proxy; });
+        for (unsigned i = 0; i < proxies_.size(); ++i) {
+            if (i == proxy)
+                continue;
+            proxies_[i].engine.linkLost(nodeName(proxy), now_);
+            drain(i);
+        }
+    }
+    void stop(unsigned proxy)
+    {
+        proxies_[proxy].engine.shutDown(now_ + Core::Duration(3'000), now_);
+        drain(proxy);
+    }
+    void grant(unsigned proxy, std::uint64_t revision, bool isActive)
+    {
+        proxies_[proxy].engine.grantPrimary(
+            {group, revision, databaseName(0), isActive, now_ + Core::Duration(1'000'000)}, now_);
+        drain(proxy);
+    }
+    [[nodiscard]] std::uint64_t releasedBy(unsigned proxy) const
+    {
+        return proxies_[proxy].released;
+    }
+
+private:
+    struct Proxy
+    {
+        Proxy(Core::NodeName node, Core::DataCentreName dataCentre, Core::Instant now)
+            : dataCentre(dataCentre)
+            , engine(std::move(node), std::move(dataCentre), now)
+        { }
+        Core::DataCentreName dataCentre;
+        SessionEngine engine;
+        bool isDown = false;
+        std::uint64_t released = 0;
+    };
+    struct Event
+    {
+        Core::Instant at;
+        std::uint64_t order = 0;
+        std::function<void()> what;
+        bool operator<(const Event &other) const
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+    struct Database
+    {
+        Core::DataCentreName dataCentre;
+        unsigned busy = 0;
+        std::deque<std::pair<Core::Duration, std::function<void()>>> waiting;
+        std::uint64_t position = 1;
+    };
+    using Key = std::pair<unsigned, ConnectionId>; ///< Proxy and its id of the connection.
+    struct DatabaseConnection
+    {
+        Core::DatabaseName database;
+        bool isInTransaction = false;
+    };
+    struct Channel
+    {
+        unsigned from = 0;
+        ConnectionId id = 0;
+    };
+
+    [[nodiscard]] Core::DataCentreName dataCentreOf(unsigned index) const
+    {
+        return Core::DataCentreName("dc-" + std::to_string(index % shape_.dataCentres));
+    }
+
+    void introduce(unsigned index)
+    {
+        auto table = std::make_shared<RoutingTable>();
+        table->version = 1;
+        for (unsigned i = 0; i < shape_.teams; ++i) {
+            const Core::TeamName team("team-" + std::to_string(i));
+            table->keys[keyOf(i)] = team;
+            table->teams[team] = {};
+        }
+        table->groups[group] = {shape_.connections, 0};
+        auto route = std::make_shared<Route>();
+        route->name = Core::RouteName("own");
+        route->group = group;
+        route->consistency = Consistency::ReadOwnWrites;
+        route->statementTimeout = Core::Duration(800);
+        route->objective = Core::Duration(200);
+        route->maximumAge = Core::Duration(2'500);
+        table->routes["own"] = route;
+        std::vector<DatabaseEntry> entries;
+        for (unsigned i = 0; i < shape_.databases; ++i) {
+            DatabaseEntry entry;
+            entry.id = databaseName(i);
+            entry.group = group;
+            entry.address = "10.0.0." + std::to_string(i + 1) + ":1";
+            entry.dataCentre = dataCentreOf(i);
+            entry.slots = shape_.slots;
+            entry.role = i == 0 ? DatabaseRole::Primary : DatabaseRole::Replica;
+            entries.push_back(entry);
+        }
+        std::vector<PoolMember> members;
+        for (unsigned i = 0; i < shape_.proxies && shape_.hasPoolers; ++i)
+            members.push_back({nodeName(i), dataCentreOf(i), "10.1.0.1:1", 250});
+        SessionEngine &engine = proxies_[index].engine;
+        engine.configure(table, now_);
+        engine.directoryChanged(entries, now_);
+        engine.setMemberCount(shape_.proxies, now_);
+        engine.setPoolMembers(members, now_);
+        grant(index, 1, true);
+    }
+
+    [[nodiscard]] Core::Duration delay(const Core::DataCentreName &a,
+                                       const Core::DataCentreName &b) const
+    {
+        return a == b ? shape_.nearDelay : shape_.farDelay;
+    }
+    [[nodiscard]] Core::Duration delay(unsigned from, unsigned to) const
+    {
+        return delay(proxies_[from].dataCentre, proxies_[to].dataCentre);
+    }
+    [[nodiscard]] unsigned indexOf(const Core::NodeName &node) const
+    {
+        for (unsigned i = 0; i < proxies_.size(); ++i) {
+            if (nodeName(i) == node)
+                return i;
+        }
+        return 0;
+    }
+
+    void later(unsigned proxy, Core::Duration after, std::function<void()> what)
+    {
+        at(now_ + after, [this, proxy, what = std::move(what)] {
+            if (proxies_[proxy].isDown)
+                return;
+            what();
+            drain(proxy);
+        });
+    }
+
+    void drain(unsigned proxy)
+    {
+        if (proxies_[proxy].isDown)
+            return;
+        for (;;) {
+            auto actions = proxies_[proxy].engine.takeActions();
+            if (actions.empty())
+                return;
+            for (auto &action : actions)
+                perform(proxy, action);
+        }
+    }
+
+    void perform(unsigned proxy, Action &action)
+    {
+        SessionEngine &engine = proxies_[proxy].engine;
+        std::visit(
+            Core::Overloaded{
+                [&](const RequestAdmission &request) { engine.admitted(request.session, now_); },
+                [&](const AnswerSession &answer) { answers_[answer.session].push_back(answer); },
+                [&](const OpenConnection &open) { openConnection(proxy, open); },
+                [&](const CloseConnection &close) {
+                    connections_.erase({proxy, close.connection});
+                },
+                [&](const SendStatement &send) { runStatement(proxy, send); },
+                [&](const OpenLink &open) { openLink(proxy, open); },
+                [&](const PingLink &ping) {
+                    const unsigned other = indexOf(ping.node);
+                    if (!proxies_[other].isDown)
+                        later(proxy, delay(proxy, other) * 2, [this, proxy, node = ping.node] {
+                            proxies_[proxy].engine.linkHeard(node, now_);
+                        });
+                },
+                [&](const ForwardStatement &forward) { sendForward(proxy, forward); },
+                [&](const CloseChannel &close) { closeChannel(proxy, close); },
+                [&](const AnswerForwarded &answer) { sendAnswer(proxy, answer); },
+                [&](const EndSession &end) { endSession(proxy, end); },
+                [&](const ReportReleased &report) { proxies_[proxy].released = report.revision; },
+                [](const auto &) {},
+            },
+            action);
+    }
+
+    void openLink(unsigned proxy, const OpenLink &open)
+    {
+        const unsigned other = indexOf(open.node);
+        if (proxies_[other].isDown)
+            return;
+        later(proxy, delay(proxy, other) * 2,
+              [this, proxy, node = open.node] { proxies_[proxy].engine.linkOpened(node, now_); });
+    }
+
+    void sendForward(unsigned proxy, const ForwardStatement &forward)
+    {
+        const unsigned other = indexOf(forward.node);
+        const Key channel{proxy, forward.channel};
+        later(other, delay(proxy, other), [this, other, channel, message = forward.statement] {
+            auto session = forwardedSessions_.find(channel);
+            if (session == forwardedSessions_.end()) {
+                session = forwardedSessions_.emplace(channel, nextSession_++).first;
+                channels_[session->second] = {channel.first, channel.second};
+            }
+            proxies_[other].engine.forwardedStatement(session->second, message, now_);
+        });
+    }
+
+    void closeChannel(unsigned proxy, const CloseChannel &close)
+    {
+        const unsigned other = indexOf(close.node);
+        const Key channel{proxy, close.channel};
+        later(other, delay(proxy, other),
+              [this, other, channel] { forgetChannel(other, channel); });
+    }
+
+    void forgetChannel(unsigned pooler, const Key &channel)
+    {
+        const auto session = forwardedSessions_.find(channel);
+        if (session == forwardedSessions_.end())
+            return;
+        const SessionId id = session->second;
+        channels_.erase(id);
+        forwardedSessions_.erase(session);
+        proxies_[pooler].engine.sessionClosed(id, now_);
+    }
+
+    void sendAnswer(unsigned pooler, const AnswerForwarded &answer)
+    {
+        const auto found = channels_.find(answer.session);
+        if (found == channels_.end())
+            return;
+        const Channel channel = found->second;
+        const bool isLast = answer.answer.reply.state == TransactionState::None
+            || answer.answer.progress != ForwardedProgress::Sent;
+        if (isLast)
+            forgetChannel(pooler, {channel.from, channel.id});
+        later(channel.from, delay(pooler, channel.from), [this, channel, answer, pooler] {
+            SessionEngine &engine = proxies_[channel.from].engine;
+            engine.linkHeard(nodeName(pooler), now_);
+            engine.forwardedReply(channel.id, answer.answer, now_);
+        });
+    }
+
+    void endSession(unsigned proxy, const EndSession &end)
+    {
+        const auto found = channels_.find(end.session);
+        if (found == channels_.end()) {
+            ended_.insert(end.session);
+            return;
+        }
+        const Channel channel = found->second;
+        forgetChannel(proxy, {channel.from, channel.id});
+        later(channel.from, delay(proxy, channel.from),
+              [this, channel] { proxies_[channel.from].engine.channelClosed(channel.id, now_); });
+    }
+
+    void openConnection(unsigned proxy, const OpenConnection &open)
+    {
+        const Key key{proxy, open.connection};
+        const Core::Duration way =
+            delay(proxies_[proxy].dataCentre, databases_.at(open.database).dataCentre);
+        std::size_t open_ = 0;
+        for (const auto &[other, connection] : connections_)
+            open_ += connection.database == open.database ? 1 : 0;
+        if (open_ >= shape_.connections) {
+            ++counts_.connectionsRefused;
+            later(proxy, way * 2, [this, key] {
+                proxies_[key.first].engine.connectionEnded(key.second, Failure::ConnectionLimit,
+                                                           now_);
+            });
+            return;
+        }
+        ++counts_.openings;
+        connections_[key] = {open.database, false};
+        at(now_ + way, [this, key, way, database = open.database] {
+            occupy(database, shape_.openTime, [this, key, way, database] {
+                later(key.first, way, [this, key, database] {
+                    if (connections_.contains(key))
+                        proxies_[key.first].engine.connectionOpened(
+                            key.second, Core::LogMark{1, databases_[database].position}, now_);
+                });
+            });
+        });
+    }
+
+    void runStatement(unsigned proxy, const SendStatement &send)
+    {
+        const Key key{proxy, send.connection};
+        const auto found = connections_.find(key);
+        if (found == connections_.end())
+            return;
+        const Core::DatabaseName database = found->second.database;
+        const Core::Duration way =
+            delay(proxies_[proxy].dataCentre, databases_.at(database).dataCentre);
+        const StatementKind kind = send.statement.kind;
+        const bool isSlotNeeded = kind == StatementKind::Read || kind == StatementKind::Write
+            || kind == StatementKind::Execute || kind == StatementKind::Commit;
+        const auto answer = [this, key, way, database, kind] {
+            later(key.first, way, [this, key, database, kind] { reply(key, database, kind); });
+        };
+        at(now_ + way, [this, database, isSlotNeeded, answer] {
+            if (isSlotNeeded)
+                occupy(database, shape_.serviceTime, answer);
+            else
+                answer();
+        });
+    }
+
+    void reply(const Key &key, const Core::DatabaseName &database, StatementKind kind)
+    {
+        const auto found = connections_.find(key);
+        if (found == connections_.end())
+            return;
+        bool &isInTransaction = found->second.isInTransaction;
+        if (kind == StatementKind::Begin || kind == StatementKind::BeginRead)
+            isInTransaction = true;
+        if (kind == StatementKind::Commit || kind == StatementKind::Rollback)
+            isInTransaction = false;
+        DatabaseReply answer;
+        answer.body = "rows";
+        answer.state = isInTransaction ? TransactionState::Open : TransactionState::None;
+        answer.mark = Core::LogMark{1, databases_[database].position};
+        proxies_[key.first].engine.reply(key.second, std::move(answer), now_);
+    }
+
+    /// Runs \a done after a slot was busy for \a time, the first to come first.
+    void occupy(const Core::DatabaseName &name, Core::Duration time, std::function<void()> done)
+    {
+        Database &database = databases_.at(name);
+        if (database.busy >= shape_.slots) {
+            database.waiting.emplace_back(time, std::move(done));
+            return;
+        }
+        ++database.busy;
+        at(now_ + time, [this, name, done = std::move(done)] {
+            done();
+            Database &freed = databases_.at(name);
+            --freed.busy;
+            if (freed.waiting.empty())
+                return;
+            auto next = std::move(freed.waiting.front());
+            freed.waiting.pop_front();
+            occupy(name, next.first, std::move(next.second));
+        });
+    }
+
+    Shape shape_;
+    Core::Instant now_{1'000'000};
+    std::deque<Proxy> proxies_;
+    std::map<Core::DatabaseName, Database> databases_;
+    std::map<Key, DatabaseConnection> connections_;
+    std::map<Key, SessionId> forwardedSessions_; ///< By the forwarding proxy and its channel.
+    std::map<SessionId, Channel> channels_;
+    std::map<SessionId, std::deque<AnswerSession>> answers_;
+    std::set<SessionId> ended_;
+    std::priority_queue<Event> events_;
+    std::uint64_t nextEvent_ = 1;
+    SessionId nextSession_ = 1;
+    unsigned nextStatement_ = 1;
+    Counts counts_;
+};
+
+} // namespace Chervilpin::Sessions::Testing
--- a/Tests/Sessions/TestConnectionLimits.cpp
+++ b/Tests/Sessions/TestConnectionLimits.cpp
@@ -27,3 +27,24 @@
     LONGS_EQUAL(1, ConnectionLimits::divide(0, 1, 80).open);
     LONGS_EQUAL(1, ConnectionLimits::divide(1, 0, 1).open);
 }
+
+TEST(ConnectionLimits, APoolerLeavesSomeToOthers)
+{
+    const auto pooler = ConnectionLimits::forPooler(16);
+    LONGS_EQUAL(12, pooler.open);
+    CHECK(pooler.areIdleKept);
+    const auto other = ConnectionLimits::besidePooler(16);
+    LONGS_EQUAL(2, other.open);
+    CHECK(!other.areIdleKept);
+    LONGS_EQUAL(1, ConnectionLimits::forPooler(1).open);
+    LONGS_EQUAL(1, ConnectionLimits::besidePooler(1).open);
+}
+
+TEST(ConnectionLimits, APoolerIsNeededWhereAnEvenPartHasLessThanOneForEachTeam)
+{
+    // huonheel-pool, mcr-registry-large, and a fleet with plenty.
+    CHECK(ConnectionLimits::isPoolerNeeded(16, 9, 8));
+    CHECK(ConnectionLimits::isPoolerNeeded(193, 295, 190));
+    CHECK(!ConnectionLimits::isPoolerNeeded(300, 9, 8));
+    CHECK(!ConnectionLimits::isPoolerNeeded(16, 1, 80));
+}
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -462,7 +462,7 @@
 /// a change of primary again before it has read the configuration.
 TEST(SessionEngine, ADatabaseIsAskedForItsStatusBeforeAConfigurationIsKnown)
 {
-    SessionEngine engine(EngineFixture::dataCentre, fixture.now);
+    SessionEngine engine(Core::NodeName("self"), EngineFixture::dataCentre, fixture.now);
     engine.directoryChanged(EngineFixture::entries(), fixture.now);
     engine.askStatus(EngineFixture::primary, fixture.now);
     const auto opened = EngineFixture::only<OpenConnection>(engine.takeActions());
