Poolers that failed are probed beside the work, not by it

Ruled out: the connections that still count (nine of 36 are free). Change: a pooler that failed is opened and pinged beside the work, first at once, then after 0.1 s, doubling; it is chosen again when it answered. The next in rank finds out whether the first can be reached, and with it whether it may keep the connections.

--- a/Libraries/Sessions/PoolerTable.cpp
+++ b/Libraries/Sessions/PoolerTable.cpp
@@ -16,8 +16,8 @@
 /// A VM with less than this part of the strongest one's processor becomes a pooler only if the data
 /// centre has no stronger ones.
 constexpr unsigned strongPart = 2;
-/// The time for which a proxy is avoided doubles so many times at most.
-constexpr unsigned mostDoublings = 3;
+/// The time between probes of a proxy doubles so many times at most.
+constexpr unsigned mostDoublings = 4;
 
 } // namespace
 
@@ -29,6 +29,11 @@
 {
     members_ = std::move(members);
     ranked_.clear();
+    // What is known of a proxy that left is kept while its link is open.
+    std::erase_if(contacts_, [&](const auto &entry) {
+        return entry.second.link == Link::Closed
+            && std::ranges::find(members_, entry.first, &PoolMember::node) == members_.end();
+    });
 }
 
 std::vector<std::size_t> PoolerTable::rank(const DatabaseEntry &database) const
@@ -54,20 +59,37 @@
     return order;
 }
 
-const PoolMember *PoolerTable::first(const DatabaseEntry &database, Core::Instant now)
+const std::vector<std::size_t> &PoolerTable::rankedFor(const DatabaseEntry &database)
 {
     auto found = ranked_.find(database.id);
     if (found == ranked_.end())
         found = ranked_.emplace(database.id, rank(database)).first;
-    for (const std::size_t index : found->second) {
+    return found->second;
+}
+
+const PoolMember *PoolerTable::first(const DatabaseEntry &database, Core::Instant now)
+{
+    for (const std::size_t index : rankedFor(database)) {
         const PoolMember &member = members_[index];
         const auto contact = contacts_.find(member.node);
-        if (member.node == self_ || contact == contacts_.end() || now >= contact->second.avoidUntil)
+        if (member.node == self_ || contact == contacts_.end() || contact->second.isUsable(now))
             return &member;
     }
     return nullptr;
 }
 
+const PoolMember *PoolerTable::unknownFirst(const DatabaseEntry &database)
+{
+    const auto &ranked = rankedFor(database);
+    if (ranked.empty() || members_[ranked.front()].node == self_)
+        return nullptr;
+    const PoolMember &member = members_[ranked.front()];
+    const auto contact = contacts_.find(member.node);
+    const bool isUnknown = contact == contacts_.end()
+        || (contact->second.link == Link::Closed && contact->second.failures == 0);
+    return isUnknown ? &member : nullptr;
+}
+
 const PoolMember *PoolerTable::choose(const DatabaseEntry &database, Core::Instant now)
 {
     const PoolMember *member = first(database, now);
@@ -105,27 +127,20 @@
 void PoolerTable::lost(const Core::NodeName &node, Core::Instant now)
 {
     Contact &contact = contacts_[node];
-    // Open connections can go silent while new ones work, so one that worked is opened anew.
-    const bool hasWorked = contact.link == Link::Up && contact.failures == 0;
     contact.link = Link::Closed;
     contact.outstanding = 0;
     contact.pingedAt = Core::Instant();
-    if (hasWorked)
-        contact.failures = 1;
-    else
-        avoid(contact, now);
+    // The first probe is made at once, as open connections can go silent while new ones work.
+    const unsigned doublings = std::min(contact.failures, mostDoublings);
+    const bool isFirst = contact.failures == 0;
+    contact.probeAt =
+        isFirst ? now : now + firstProbePause * static_cast<std::int64_t>(1U << doublings);
+    ++contact.failures;
 }
 
 void PoolerTable::refused(const Core::NodeName &node, Core::Instant now)
 {
-    avoid(contacts_[node], now);
-}
-
-void PoolerTable::avoid(Contact &contact, Core::Instant now)
-{
-    const unsigned doublings = std::min(contact.failures, mostDoublings);
-    contact.avoidUntil = now + poolerAvoidTime * static_cast<std::int64_t>(1U << doublings);
-    ++contact.failures;
+    contacts_[node].avoidUntil = now + poolerAvoidTime;
 }
 
 void PoolerTable::asked(const Core::NodeName &node, Core::Instant now)
@@ -153,17 +168,24 @@
 {
     Review result;
     for (auto &[node, contact] : contacts_) {
+        if (contact.link == Link::Closed) {
+            const auto member = std::ranges::find(members_, node, &PoolMember::node);
+            if (contact.failures > 0 && now >= contact.probeAt && member != members_.end())
+                result.toOpen.push_back(*member);
+            continue;
+        }
         if (contact.link == Link::Opening) {
             if (now >= contact.since + linkOpenTime)
                 result.silent.push_back(node);
             continue;
         }
-        if (contact.link != Link::Up || contact.outstanding == 0)
-            continue;
+        // A link that was opened as a probe owes the answer to a ping.
         const bool isPinged = contact.pingedAt != Core::Instant();
+        const bool isOwing = contact.outstanding > 0 || contact.failures > 0;
+        const bool isDue = contact.failures > 0 || now >= contact.quietSince + pingAfter;
         if (isPinged && now >= contact.pingedAt + pingPatience) {
             result.silent.push_back(node);
-        } else if (!isPinged && now >= contact.quietSince + pingAfter) {
+        } else if (!isPinged && isOwing && isDue) {
             contact.pingedAt = now;
             result.toPing.push_back(node);
         }
@@ -171,4 +193,19 @@
     return result;
 }
 
+Core::Instant PoolerTable::nextReview() const
+{
+    Core::Instant next = Core::Instant::never();
+    for (const auto &[node, contact] : contacts_) {
+        if (contact.link == Link::Opening)
+            next = std::min(next, contact.since + linkOpenTime);
+        else if (contact.link == Link::Up && contact.pingedAt != Core::Instant())
+            next = std::min(next, contact.pingedAt + pingPatience);
+        else if (contact.link == Link::Closed && contact.failures > 0
+                 && std::ranges::find(members_, node, &PoolMember::node) != members_.end())
+            next = std::min(next, contact.probeAt);
+    }
+    return next;
+}
+
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/PoolerTable.h
+++ b/Libraries/Sessions/PoolerTable.h
@@ -39,6 +39,9 @@
     /// Whether this proxy is the pooler, as all before it in rank fail.
     [[nodiscard]] bool isSelf(const DatabaseEntry &, Core::Instant now);
 
+    /// The first in rank, if this proxy has not found out yet whether it can be reached.
+    [[nodiscard]] const PoolMember *unknownFirst(const DatabaseEntry &);
+
     // The links to the poolers.
     enum class Link {
         Closed,
@@ -48,9 +51,10 @@
     [[nodiscard]] Link linkTo(const Core::NodeName &) const;
     void opening(const Core::NodeName &, Core::Instant now);
     void opened(const Core::NodeName &, Core::Instant now);
-    /// The link broke, or could not be opened.
+    /// The link broke, or could not be opened. The proxy isn't chosen again before a probe of it
+    /// was answered.
     void lost(const Core::NodeName &, Core::Instant now);
-    /// The proxy takes no statements now, as it is stopping or can't reach the database.
+    /// The proxy takes no statements now, as it is stopping.
     void refused(const Core::NodeName &, Core::Instant now);
     /// A statement was sent over the link.
     void asked(const Core::NodeName &, Core::Instant now);
@@ -61,26 +65,35 @@
 
     struct Review
     {
+        std::vector<PoolMember> toOpen;     ///< To find out whether they can be reached again.
         std::vector<Core::NodeName> toPing; ///< They owe an answer and are quiet.
         std::vector<Core::NodeName> silent; ///< They answered no ping, or didn't open in time.
     };
-    /// To be called every pingPatience at most while statements are under way.
+    /// To be called at nextReview() at the latest, and every pingPatience while statements are
+    /// under way.
     [[nodiscard]] Review review(Core::Instant now);
+    [[nodiscard]] Core::Instant nextReview() const;
 
 private:
     struct Contact
     {
         Link link = Link::Closed;
         Core::Instant since;      ///< Of an opening link.
-        Core::Instant avoidUntil; ///< It isn't chosen before.
-        unsigned failures = 0;    ///< In a row, without an answer.
+        Core::Instant avoidUntil; ///< It isn't chosen before, as it refused.
+        unsigned failures = 0;    ///< In a row; it isn't chosen while there are any.
+        Core::Instant probeAt;    ///< If there are any, and the link is closed.
         unsigned outstanding = 0; ///< Statements without an answer.
         Core::Instant quietSince; ///< Nothing came since, though something is outstanding.
         Core::Instant pingedAt;   ///< Not answered yet; the origin if there is none.
+
+        [[nodiscard]] bool isUsable(Core::Instant now) const
+        {
+            return failures == 0 && now >= avoidUntil;
+        }
     };
 
-    void avoid(Contact &, Core::Instant now);
-    /// The first in rank that isn't avoided, which may be this proxy; null if there is none.
+    [[nodiscard]] const std::vector<std::size_t> &rankedFor(const DatabaseEntry &);
+    /// The first in rank that is usable, which may be this proxy; null if there is none.
     [[nodiscard]] const PoolMember *first(const DatabaseEntry &, Core::Instant now);
     [[nodiscard]] std::vector<std::size_t> rank(const DatabaseEntry &) const;
 
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -277,7 +277,7 @@
 
 void SessionEngine::scheduleReview(Core::Instant at)
 {
-    if (isReviewPlanned_ && reviewAt_ <= at)
+    if (at == Core::Instant::never() || (isReviewPlanned_ && reviewAt_ <= at))
         return;
     isReviewPlanned_ = true;
     reviewAt_ = at;
--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -153,6 +153,7 @@
 void SessionEngine::linkOpened(const Core::NodeName &node, Core::Instant now)
 {
     poolers_.opened(node, now);
+    scheduleReview(now);
     dispatchAll(now);
 }
 
@@ -183,12 +184,15 @@
 void SessionEngine::reviewLinks(Core::Instant now)
 {
     const auto review = poolers_.review(now);
+    for (const auto &member : review.toOpen)
+        openLinkTo(member, now);
     for (const auto &node : review.toPing)
         actions_.emplace_back(PingLink{node});
     for (const auto &node : review.silent) {
         actions_.emplace_back(CloseLink{node});
         linkLost(node, now);
     }
+    scheduleReview(poolers_.nextReview());
 }
 
 void SessionEngine::dispatchAll(Core::Instant now)
@@ -208,6 +212,10 @@
         refuseForwarded(id, ForwardedProgress::Stopping, "the proxy is stopping");
         return;
     }
+    const Database *database = findDatabase(message.database);
+    // Whether this proxy is to keep the connections depends on those that come before it.
+    if (const PoolMember *first = database ? poolers_.unknownFirst(database->entry) : nullptr)
+        openLinkTo(*first, now);
     Session &session = sessions_[id];
     if (session.isBusy()) {
         refuseForwarded(id, ForwardedProgress::NotAccepted, "the channel is busy");
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -68,8 +68,12 @@
 constexpr Core::Duration pingPatience{200};
 /// How long a link to a pooler may take to open; a round trip and a lost packet's second try.
 constexpr Core::Duration linkOpenTime{300};
-/// A pooler that failed is avoided for this long, and for twice as long each time it fails again.
+/// A pooler that refused is avoided for this long, as is the way through a pooler that can't reach
+/// the database.
 constexpr Core::Duration poolerAvoidTime{1'000};
+/// Between the first two probes of a pooler that failed; doubled from one to the next. The restart
+/// of a process takes about as long.
+constexpr Core::Duration firstProbePause{100};
 
 /// How long a statement may wait for a database. A fifth of the objective leaves time for the
 /// statement itself, and for the caller to come back elsewhere.
--- a/Tests/Sessions/TestPoolerTable.cpp
+++ b/Tests/Sessions/TestPoolerTable.cpp
@@ -56,21 +56,62 @@
     CHECK(table.isSelf(database, now));
 }
 
-TEST(PoolerTable, ALinkThatWorkedIsOpenedAnewBeforeThePoolerIsAvoided)
+TEST(PoolerTable, APoolerThatFailedIsChosenAgainOnceItAnswersAProbe)
 {
     table.setMembers({member("a", "near"), member("b", "far")});
     const Core::NodeName a("a");
     table.opening(a, now);
     table.opened(a, now);
     table.lost(a, now);
-    STRCMP_EQUAL("a", chosen().c_str());
+    STRCMP_EQUAL("b", chosen().c_str());
+    LONGS_EQUAL(1, table.review(now).toOpen.size());
     table.opening(a, now);
-    table.lost(a, now);
+    table.opened(a, now);
+    // A frozen process accepts links, too.
     STRCMP_EQUAL("b", chosen().c_str());
-    now = now + 10_s;
+    CHECK(table.review(now).toPing == std::vector{a});
+    table.heard(a, now);
     STRCMP_EQUAL("a", chosen().c_str());
 }
 
+TEST(PoolerTable, ProbesOfAPoolerThatStaysAwayGetRare)
+{
+    table.setMembers({member("a", "near"), member("b", "far")});
+    const Core::NodeName a("a");
+    unsigned probes = 0;
+    table.lost(a, now);
+    for (int i = 0; i < 600; ++i, now = now + 100_ms) {
+        for (const auto &opened : table.review(now).toOpen) {
+            ++probes;
+            table.opening(opened.node, now);
+            table.lost(opened.node, now);
+        }
+        STRCMP_EQUAL("b", chosen().c_str());
+    }
+    CHECK(probes >= 30 && probes <= 50);
+}
+
+TEST(PoolerTable, OneThatLeftIsNotProbed)
+{
+    table.setMembers({member("a", "near"), member("b", "far")});
+    table.lost(Core::NodeName("a"), now);
+    table.setMembers({member("b", "far")});
+    CHECK(table.review(now + 10_s).toOpen.empty());
+    CHECK(table.nextReview() == Core::Instant::never());
+}
+
+TEST(PoolerTable, TheNextInRankFindsOutWhetherTheFirstCanBeReached)
+{
+    table.setMembers({member("a", "near"), member("self", "far")});
+    const Core::NodeName a("a");
+    CHECK(table.unknownFirst(database)->node == a);
+    table.opening(a, now);
+    POINTERS_EQUAL(nullptr, table.unknownFirst(database));
+    table.lost(a, now);
+    POINTERS_EQUAL(nullptr, table.unknownFirst(database));
+    CHECK(table.isSelf(database, now));
+}
+
 TEST(PoolerTable, OneThatIsStoppingIsAvoidedForAWhile)
 {
     table.setMembers({member("a", "near"), member("self", "far")});
