Statements are refused at once while the primary they need is being replaced

Change: after 0.4 s without a usable primary they are refused with the reason and a time to come back.

--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -100,6 +100,7 @@
     Core::DatabaseName oldPrimary; ///< Until released.
     Core::Instant oldRightUntil;
     Core::Instant primarySince;  ///< When this proxy learned of the present primary.
+    Core::Instant outageSince;   ///< A statement could not use it first; the origin if it can.
     bool isLapseHandled = false; ///< What was in flight when the right ended has been cut.
 
     Core::LogMark highestMark;
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -113,6 +113,9 @@
 
     // Placing and sending.
     void dispatch(Group &, Core::Instant now);
+    /// Whether the primary has been out of use for so long that it won't be back in time, and
+    /// nothing else can serve the statement.
+    [[nodiscard]] bool isHopeless(const Session &, Group &, Core::Instant now);
     [[nodiscard]] bool place(Session &, Group &, Core::Instant now);
     [[nodiscard]] Placement::Need needOf(const Session &, const Group &, Core::Instant now) const;
     [[nodiscard]] std::vector<Placement::Candidate>
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+constexpr std::string_view replacingText =
+    "this proxy may not use the primary now, as it is being replaced; try again in 1000 ms";
+constexpr std::string_view unreachableText =
+    "the primary doesn't answer this proxy; try again in 1000 ms";
+
 /// Whether the operation can only run on the primary.
 bool isPrimaryOnly(const Session &session)
 {
@@ -28,13 +33,39 @@
 
 void SessionEngine::dispatch(Group &group, Core::Instant now)
 {
+    std::vector<SessionId> hopeless;
     // Sending can end sessions only through later inputs, so the queue changes only here.
     std::erase_if(group.queue, [&](SessionId id) {
         Session *session = findSession(id);
         if (!session || !session->running)
             return true;
+        if (isHopeless(*session, group, now)) {
+            hopeless.push_back(id);
+            return true;
+        }
         return place(*session, group, now);
     });
+    for (const SessionId id : hopeless) {
+        Session &session = sessions_.at(id);
+        returnAdmission(session);
+        fail(session, Failure::Busy,
+             std::string(group.mayUsePrimary(now) ? unreachableText : replacingText), now);
+        operationEnded(session, now);
+    }
+}
+
+bool SessionEngine::isHopeless(const Session &session, Group &group, Core::Instant now)
+{
+    const bool isUsable = group.mayUsePrimary(now);
+    if (isUsable) {
+        group.outageSince = Core::Instant();
+        return false;
+    }
+    if (group.outageSince == Core::Instant())
+        group.outageSince = now;
+    if (session.forwarded || now < group.outageSince + shortOutage)
+        return false;
+    return isPrimaryOnly(session) || !needOf(session, group, now).mark;
 }
 
 Placement::Need SessionEngine::needOf(const Session &session, const Group &group,
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -75,6 +75,10 @@
 /// of a process takes about as long.
 constexpr Core::Duration firstProbePause{100};
 
+/// When a primary has been out of use for this long, statements that need it are refused at once.
+/// Shorter interruptions are a planned change's, or of a connection; a replacement takes seconds.
+constexpr Core::Duration shortOutage{400};
+
 /// How long a statement may wait for a database. A fifth of the objective leaves time for the
 /// statement itself, and for the caller to come back elsewhere.
 [[nodiscard]] inline Core::Duration queueTime(const Route &route)
