--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -7,6 +7,7 @@
 #include <Sessions/FreshnessLedger.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/SessionState.h>
+#include <Sessions/Timing.h>
 
 #include <deque>
 #include <optional>
@@ -82,6 +83,14 @@
     /// Statements go to it directly before, as its pooler could not reach it.
     Core::Instant directUntil;
     bool isGone = false; ///< Not listed any more; kept while connections are lent.
+
+    /// Whether several connections failed, and none has worked since.
+    [[nodiscard]] bool isUnreachable(Core::Instant now) const
+    {
+        constexpr unsigned leastFailures = 2;
+        return troubleSince != Core::Instant() && failures >= leastFailures
+            && now >= troubleSince + refusalLimit;
+    }
 };
 
 /// What this proxy knows of a group of databases.
@@ -100,6 +109,7 @@
     Core::DatabaseName oldPrimary; ///< Until released.
     Core::Instant oldRightUntil;
     Core::Instant primarySince;  ///< When this proxy learned of the present primary.
+    Core::Instant trialAt;       ///< When a statement tries an unreachable primary again.
     Core::Instant outageSince;   ///< A statement could not use it first; the origin if it can.
     bool isLapseHandled = false; ///< What was in flight when the right ended has been cut.
 
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -377,10 +377,7 @@
                               return !connection.owed.empty()
                                   && now >= connection.owed.front().sentAt + silenceLimit;
                           });
-    constexpr unsigned leastFailures = 2;
-    const bool isRefusing = database->troubleSince != Core::Instant()
-        && database->failures >= leastFailures && now >= database->troubleSince + refusalLimit;
-    if (isSilent || isRefusing)
+    if (isSilent || database->isUnreachable(now))
         group.health = PrimaryHealth::Suspect;
     else if (now < database->lastReply + silenceLimit && database->lastReply != Core::Instant())
         group.health = PrimaryHealth::Healthy;
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -56,7 +56,9 @@
 
 bool SessionEngine::isHopeless(const Session &session, Group &group, Core::Instant now)
 {
-    const bool isUsable = group.mayUsePrimary(now);
+    const Database *primary = findDatabase(group.primary);
+    const bool isUnreachable = primary && primary->isUnreachable(now);
+    const bool isUsable = group.mayUsePrimary(now) && !isUnreachable;
     if (isUsable) {
         group.outageSince = Core::Instant();
         return false;
@@ -65,7 +67,14 @@
         group.outageSince = now;
     if (session.forwarded || now < group.outageSince + shortOutage)
         return false;
-    return isPrimaryOnly(session) || !needOf(session, group, now).mark;
+    if (!isPrimaryOnly(session) && needOf(session, group, now).mark)
+        return false;
+    if (group.mayUsePrimary(now) && now >= group.trialAt) {
+        // Only a statement shows that the primary answers again.
+        group.trialAt = now + unreachableTrialInterval;
+        return false;
+    }
+    return true;
 }
 
 Placement::Need SessionEngine::needOf(const Session &session, const Group &group,
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -78,6 +78,8 @@
 /// When a primary has been out of use for this long, statements that need it are refused at once.
 /// Shorter interruptions are a planned change's, or of a connection; a replacement takes seconds.
 constexpr Core::Duration shortOutage{400};
+/// Meanwhile one statement tries an unreachable primary this often.
+constexpr Core::Duration unreachableTrialInterval{200};
 
 /// How long a statement may wait for a database. A fifth of the objective leaves time for the
 /// statement itself, and for the caller to come back elsewhere.
