The store's return shows at once, and a leader lost meanwhile is succeeded soon after

Change: the first watch after a failure waits 20 ms; a leader's silence counts from when it was last heard if a majority of the others was heard all the while.

--- a/Libraries/Fleet/FleetEngineLead.cpp
+++ b/Libraries/Fleet/FleetEngineLead.cpp
@@ -69,8 +69,12 @@
 
 bool FleetEngine::hasStableContact(Core::Instant now) const
 {
-    return now >= contactSince_ + peerSilence && now >= startedAt_ + peerSilence
-        && (hasMajorityFor(peerSilence, now) || now >= majoritySeenAt_ + minorityPatience);
+    if (now < startedAt_ + peerSilence)
+        return false;
+    // With a majority heard all the while, a loss of the store says nothing of the others' silence.
+    if (hasMajorityFor(peerSilence, now))
+        return true;
+    return now >= contactSince_ + peerSilence && now >= majoritySeenAt_ + minorityPatience;
 }
 
 std::size_t FleetEngine::successionRank() const
--- a/Libraries/Fleet/StoreFeed.cpp
+++ b/Libraries/Fleet/StoreFeed.cpp
@@ -18,6 +18,9 @@
 constexpr Core::Duration longestDelay{600};
 /// The same for feeds that are told by another one; its word may be late or lost.
 constexpr Core::Duration longestUntoldDelay{3'000};
+/// The first watch after a failure is held back no longer than this, so that the store's return is
+/// noticed by its answer.
+constexpr Core::Duration firstWatchWait{20};
 /// Between two watches, the second of which follows a change. When all proxies of a large fleet
 /// register at once, each would otherwise make a call for each of them.
 constexpr Core::Duration firstInterval{200};
@@ -36,7 +39,12 @@
 {
     if (isListing_)
         return List{after_};
-    return Watch{since_, wait_};
+    return Watch{since_, watchWait()};
+}
+
+Core::Duration StoreFeed::watchWait() const
+{
+    return delay_ == Core::Duration() ? wait_ : firstWatchWait;
 }
 
 Core::Duration StoreFeed::pause(Core::Instant askedAt, Core::Instant now) const
@@ -47,7 +55,7 @@
 
 Core::Duration StoreFeed::timeout() const
 {
-    return isListing_ ? answerTime : wait_ + answerTime;
+    return isListing_ ? answerTime : watchWait() + answerTime;
 }
 
 RelayQuestion StoreFeed::question(ObjectKind kind) const
--- a/Libraries/Fleet/StoreFeed.h
+++ b/Libraries/Fleet/StoreFeed.h
@@ -72,6 +72,8 @@
     void setWait(Core::Duration wait) { wait_ = wait; }
 
 private:
+    [[nodiscard]] Core::Duration watchWait() const;
+
     Core::Duration wait_;
     Core::Duration delay_;
     Core::Duration interval_; ///< Between two watches.
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -371,6 +371,31 @@
     LONGS_EQUAL(1, leaders);
 }
 
+/// The others heard each other all the while, so the leader's silence is its own.
+TEST(FleetEngine, ALeaderLostWhileTheStoreIsAwayIsReplacedSoonAfterItsReturn)
+{
+    FleetFixture wide{5};
+    const std::string first = wide.leader();
+    const auto setStore = [&](bool isReachable) {
+        for (auto &[name, proxy] : wide.proxies) {
+            proxy.engine->storeReachable(isReachable, wide.now);
+            if (!isReachable)
+                wide.cutFromStore.insert(name);
+        }
+        if (isReachable)
+            wide.cutFromStore.clear();
+    };
+    setStore(false);
+    wide.paused.insert(first);
+    wide.pass(4'500_ms);
+    setStore(true);
+    wide.pass(1'500_ms);
+    std::size_t leaders = 0;
+    for (const auto &[name, proxy] : wide.proxies)
+        leaders += name != first && proxy.engine->isLeader() ? 1 : 0;
+    LONGS_EQUAL(1, leaders);
+}
+
 /// trouble-1 and trouble-3 of mcr-registry-large: within half a second after a cut of its own, when
 /// it had heard half of the members again, the leader retired the other 147.
 TEST(FleetEngine, ALeaderRetiresNobodyJustAfterACutOfItsOwn)
--- a/Tests/Fleet/TestStoreFeed.cpp
+++ b/Tests/Fleet/TestStoreFeed.cpp
@@ -55,6 +55,20 @@
     LONGS_EQUAL(14, std::get<StoreFeed::Watch>(feed.next()).since);
 }
 
+TEST(StoreFeed, TheFirstWatchAfterAFailureIsAnsweredAtOnce)
+{
+    (void)feed.listed("z", false, 14);
+    CHECK(std::get<StoreFeed::Watch>(feed.next()).wait == 2_s);
+    feed.failed();
+    CHECK(std::get<StoreFeed::Watch>(feed.next()).wait < 100_ms);
+    CHECK(feed.timeout() < 2_s);
+    // It is as of its question, as it was held back for less than a whole wait.
+    const Core::Instant askedAt{10'000};
+    feed.changed(14, false);
+    CHECK(feed.confirmedAt(askedAt, false, askedAt + 30_ms) == askedAt);
+    CHECK(std::get<StoreFeed::Watch>(feed.next()).wait == 2_s);
+}
+
 /// A proxy that changes its source asks the next one from where it stands, and takes nothing older.
 TEST(StoreFeed, AFeedIsAskedFromTheRevisionThatIsKnown)
 {
