Idle connections are passed on while a database takes no more

Cause: after a loss of power the connections of the old processes count for 3 s. Ruled out: slots (mostly free), the pooler's choice. Change: the number open when the database refused is taken as its room for 0.4 s, within which connections go from team to team.

--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -76,10 +76,12 @@
     unsigned outstanding = 0; ///< Statements that take a slot and aren't answered.
     double serviceMilliseconds = 0; ///< From sending to answer, smoothed.
     Core::Instant lastReply;
-    Core::Instant troubleSince; ///< Of connections that failed, without an answer since.
-    unsigned failures = 0;      ///< Since then.
-    Core::Instant openAfter;    ///< No new connection is opened before.
-    Core::Pace evictions;       ///< Of idle connections, for those of other teams.
+    Core::Instant troubleSince;  ///< Of connections that failed, without an answer since.
+    unsigned failures = 0;       ///< Since then.
+    Core::Instant openAfter;     ///< No new connection is opened before.
+    Core::Pace evictions;        ///< Of idle connections, for those of other teams.
+    std::size_t roomSeen = 0;    ///< Connections that were open when it refused another one.
+    Core::Instant roomSeenUntil; ///< Until when that is taken as its limit.
     /// Statements go to it directly before, as its pooler could not reach it.
     Core::Instant directUntil;
     bool isGone = false; ///< Not listed any more; kept while connections are lent.
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -187,6 +187,7 @@
     void closeIdle(Core::Instant now);
     void serveStatus(Core::Instant now);
     void noteFailure(Database &, Core::Instant now);
+    void noteConnectionLimit(Database &, Core::Instant now);
     [[nodiscard]] bool isWriteLike(const Session &) const;
     void scheduleReview(Core::Instant at);
 
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -39,13 +39,27 @@
          {"state", connection->state == Connection::State::Opening ? "opening" : "open"},
          {"reason", reason ? std::string(toString(*reason)) : "broken"}});
     if (reason == Failure::ConnectionLimit) {
-        database.openAfter = now + connectionLimitDelay;
+        noteConnectionLimit(database, now);
     } else if (connection->state != Connection::State::Idle) {
         noteFailure(database, now);
     }
     drop(id, now);
 }
 
+void SessionEngine::noteConnectionLimit(Database &database, Core::Instant now)
+{
+    const std::size_t others = database.connections.size() - 1;
+    if (others == 0) {
+        database.openAfter = now + connectionLimitDelay;
+        return;
+    }
+    // Connections of a proxy that went dark count for some seconds. Those that are open here are
+    // passed from team to team meanwhile.
+    database.roomSeen = others;
+    database.roomSeenUntil = now + connectionLimitDelay;
+    scheduleReview(now);
+}
+
 void SessionEngine::noteFailure(Database &database, Core::Instant now)
 {
     if (database.troubleSince == Core::Instant())
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -3,6 +3,7 @@
 #include <Sessions/Timing.h>
 
 #include <algorithm>
+#include <limits>
 
 /// From the queue to a database.
 namespace Chervilpin::Sessions {
@@ -265,7 +266,9 @@
 {
     if (now < database.openAfter)
         return;
-    if (database.connections.size() >= connectionLimits(database, now).open) {
+    const std::size_t room =
+        now < database.roomSeenUntil ? database.roomSeen : std::numeric_limits<std::size_t>::max();
+    if (database.connections.size() >= std::min(room, connectionLimits(database, now).open)) {
         const Connection *victim = findVictim(database);
         if (!victim)
             return;
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -17,7 +17,7 @@
 constexpr Core::Duration reviewInterval{150};
 /// After a connection failed, the next to the same database is tried after this.
 constexpr Core::Duration reopenDelay{120};
-/// A database that takes no more connections is left alone for this long.
+/// A database that takes no more connections is asked for none beyond those for this long.
 constexpr Core::Duration connectionLimitDelay{400};
 /// A connection that rested this long is closed for another team's at once, and a younger one only
 /// for a statement that waited evictionPatience. Opening costs a database about 12 ms of a slot.
--- a/Tests/Sessions/FleetOfProxies.h
+++ b/Tests/Sessions/FleetOfProxies.h
@@ -162,6 +162,8 @@
             drain(i);
         }
     }
+    /// Each database counts so many connections of proxies that went dark.
+    void holdConnections(unsigned count) { heldConnections_ = count; }
     void stop(unsigned proxy)
     {
         proxies_[proxy].engine.shutDown(now_ + Core::Duration(3'000), now_);
@@ -412,10 +414,10 @@
         const Key key{proxy, open.connection};
         const Core::Duration way =
             delay(proxies_[proxy].dataCentre, databases_.at(open.database).dataCentre);
-        std::size_t open_ = 0;
+        std::size_t counted = heldConnections_;
         for (const auto &[other, connection] : connections_)
-            open_ += connection.database == open.database ? 1 : 0;
-        if (open_ >= shape_.connections) {
+            counted += connection.database == open.database ? 1 : 0;
+        if (counted >= shape_.connections) {
             ++counts_.connectionsRefused;
             later(proxy, way * 2, [this, key] {
                 proxies_[key.first].engine.connectionEnded(key.second, Failure::ConnectionLimit,
@@ -511,6 +513,7 @@
     SessionId nextSession_ = 1;
     unsigned nextStatement_ = 1;
     Counts counts_;
+    std::size_t heldConnections_ = 0;
 };
 
 } // namespace Chervilpin::Sessions::Testing
--- a/Tests/Sessions/TestManyTeamsLoad.cpp
+++ b/Tests/Sessions/TestManyTeamsLoad.cpp
@@ -102,3 +102,23 @@
         CHECK_TEXT(pooled.inTime > alone.inTime, "more are served in time");
     }
 }
+
+/// After a loss of power the old processes' connections count for three more seconds.
+TEST(ManyTeamsLoad, WhileADatabaseTakesFewConnectionsTheyServeAllTeams)
+{
+    FleetOfProxies::Shape shape;
+    FleetOfProxies fleet(shape);
+    fleet.holdConnections(shape.connections - 2);
+    constexpr unsigned rounds = 3;
+    unsigned inTime = 0;
+    for (unsigned i = 0; i < rounds * shape.teams; ++i) {
+        const unsigned proxy = i % shape.proxies;
+        const SessionId session = fleet.open(proxy, i % shape.teams);
+        fleet.say(proxy, session, StatementKind::Write, "1 x");
+        fleet.pass(80_ms);
+        const auto answer = fleet.takeAnswer(session);
+        inTime += answer && !answer->failure ? 1 : 0;
+        fleet.close(proxy, session);
+    }
+    CHECK_TEXT(inTime * 10 >= rounds * shape.teams * 9, "nine in ten are in time");
+}
