A statement in a transaction counts no time as waiting

Its time in the queue was told as the whole of its time (queued_ms equal to ms, attempts=0), as it never enters the queue. The test failed before.

--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -264,6 +264,7 @@
     operation.arrived = now;
     operation.deadline = now + session.route->statementTimeout;
     operation.queueUntil = operation.deadline;
+    operation.firstSentAt = now;
     operation.connection = connection->id;
     operation.database = connection->database;
     operation.isOnReplica = groupOf(session).primary != connection->database;
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -498,6 +498,19 @@
     LONGS_EQUAL(1, fixture.engine.connectionCount());
 }
 
+TEST(SessionEngine, AStatementInATransactionIsNotCountedAsWaiting)
+{
+    const auto session = fixture.open("own");
+    const auto connection = fixture.openTransaction(session);
+    fixture.say(session, StatementKind::Read, "1");
+    fixture.pass(20_ms);
+    fixture.done(connection, {1, 2}, TransactionState::Open);
+    const auto outcomes = EngineFixture::only<CountOutcome>(fixture.take());
+    LONGS_EQUAL(1, outcomes.size());
+    LONGS_EQUAL(20, outcomes.front().time.milliseconds());
+    LONGS_EQUAL(0, outcomes.front().queued.milliseconds());
+}
+
 TEST(SessionEngine, LinesOfStatementsThatEndedWellAreNotMadeIfTheyWouldBeLeftOut)
 {
     const auto lines = [](const std::vector<Action> &actions) {
