--- a/Libraries/Sessions/PoolerTable.cpp
+++ b/Libraries/Sessions/PoolerTable.cpp
@@ -132,9 +132,10 @@
     contact.pingedAt = Core::Instant();
     // The first probe is made at once, as open connections can go silent while new ones work.
     const unsigned doublings = std::min(contact.failures, mostDoublings);
-    const bool isFirst = contact.failures == 0;
-    contact.probeAt =
-        isFirst ? now : now + firstProbePause * static_cast<std::int64_t>(1U << doublings);
+    constexpr std::int64_t once = 1;
+    const Core::Duration pause =
+        contact.failures == 0 ? Core::Duration() : firstProbePause * (once << doublings);
+    contact.probeAt = now + pause;
     ++contact.failures;
 }
 
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -498,6 +498,61 @@
     LONGS_EQUAL(1, fixture.engine.connectionCount());
 }
 
+TEST(SessionEngine, WhatNeedsAPrimaryThatIsBeingReplacedIsRefusedAtOnce)
+{
+    fixture.sample({1, 10});
+    fixture.marks[fixture.replica] = {1, 10};
+    fixture.grant(2, fixture.primary, false);
+    const auto first = fixture.open("own");
+    fixture.say(first, StatementKind::Write, "1 x");
+    // The change may be a short one.
+    LONGS_EQUAL(0, fixture.answers().size());
+    fixture.pass(500_ms);
+    (void)fixture.take();
+    const auto write = fixture.open("own");
+    fixture.say(write, StatementKind::Write, "1 x");
+    const auto answers = fixture.answers();
+    LONGS_EQUAL(1, answers.size());
+    CHECK(answers.front().failure == Failure::Busy);
+    // A read of a stated age still finds a replica.
+    const auto read = fixture.open("aged");
+    fixture.say(read, StatementKind::Read, "1");
+    LONGS_EQUAL(1, fixture.sent().size());
+}
+
+TEST(SessionEngine, AnUnreachablePrimaryIsTriedNowAndThenAndFoundBack)
+{
+    fixture.isOpening = false;
+    const auto fail = [&] {
+        for (const auto &opened : EngineFixture::only<OpenConnection>(fixture.take()))
+            fixture.engine.connectionEnded(opened.connection, {}, fixture.now);
+    };
+    const auto session = fixture.open("latest");
+    for (int i = 0; i < 20; ++i) {
+        fixture.say(session, StatementKind::Read, "1");
+        fail();
+        fixture.pass(100_ms);
+        fail();
+    }
+    unsigned refusedAtOnce = 0;
+    for (int i = 0; i < 10; ++i) {
+        const auto other = fixture.open("latest");
+        fixture.say(other, StatementKind::Read, "1");
+        refusedAtOnce += EngineFixture::only<AnswerSession>(fixture.take()).size();
+        fixture.pass(10_ms);
+    }
+    CHECK(refusedAtOnce >= 8);
+    fixture.isOpening = true;
+    fixture.pass(400_ms);
+    (void)fixture.take();
+    const auto trial = fixture.open("latest");
+    fixture.say(trial, StatementKind::Read, "1");
+    const auto sent = fixture.sent();
+    LONGS_EQUAL(1, sent.size());
+    fixture.done(sent.front().connection, {1, 11});
+    STRCMP_EQUAL("none", nameOf(fixture.answers().front().failure).c_str());
+}
+
 TEST(SessionEngine, AStatementInATransactionIsNotCountedAsWaiting)
 {
     const auto session = fixture.open("own");
