--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -5,6 +5,23 @@
 /// Statements that run through another proxy, and those that other proxies run through this one.
 namespace Chervilpin::Sessions {
 
+namespace {
+
+/// What this proxy needs to know of the route on which a forwarded statement came.
+std::shared_ptr<const Route> routeOf(const ForwardedStatement &message)
+{
+    auto route = std::make_shared<Route>();
+    route->name = message.route;
+    route->group = message.group;
+    route->priority = message.priority;
+    route->statementTimeout = message.statementTimeout;
+    // A statement waits for half of the objective.
+    route->objective = message.patience * 2;
+    return route;
+}
+
+} // namespace
+
 void SessionEngine::setPoolMembers(std::vector<PoolMember> members, Core::Instant now)
 {
     poolers_.setMembers(std::move(members));
@@ -222,15 +239,9 @@
         return;
     }
     if (isNew) {
-        auto route = std::make_shared<Route>();
-        route->name = message.route;
-        route->group = message.group;
-        route->priority = message.priority;
-        route->statementTimeout = message.statementTimeout;
-        route->objective = message.patience * 2;
         session.id = id;
         session.team = message.team;
-        session.route = std::move(route);
+        session.route = routeOf(message);
         session.forwarded = {message.database, message.isPrimaryNeeded, message.atLeast};
     }
     session.lastActive = now;
--- a/Services/SessionProxy/ForwardLinks.cpp
+++ b/Services/SessionProxy/ForwardLinks.cpp
@@ -4,16 +4,10 @@
 #include <Core/SteadyClock.h>
 #include <Http/Server.h>
 #include <Observe/Log.h>
-#include <Services/SessionProxy/Listening.h>
-#include <Services/SessionProxy/NodeTiming.h>
-
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
 
 namespace Chervilpin::SessionProxy {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 using Observe::Severity;
 
 Core::ErrorOr<std::string> forwardAddressOf(std::string_view peerAddress)
@@ -25,7 +19,6 @@
 ForwardLinks::ForwardLinks(asio::io_context &context, Sessions::SessionEngine &sessions,
                            Handlers handlers)
     : context_(context)
-    , acceptor_(context)
     , sessions_(sessions)
     , handlers_(std::move(handlers))
 { }
@@ -35,28 +28,14 @@
                                                                   Sessions::SessionEngine &sessions,
                                                                   Handlers handlers)
 {
-    const auto endpoint = TRY(Http::parseEndpoint(address));
     std::unique_ptr<ForwardLinks> links(new ForwardLinks(context, sessions, std::move(handlers)));
-    TRY(listenOn(links->acceptor_, endpoint));
-    links->acceptNext();
+    links->listener_ =
+        TRY(Listener::create(context, address, [self = links.get()](asio::ip::tcp::socket socket) {
+            self->accepted(std::move(socket));
+        }));
     return links;
 }
 
-void ForwardLinks::acceptNext()
-{
-    acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
-        if (!error) {
-            accepted(std::move(socket));
-            acceptNext();
-            return;
-        }
-        Observe::log(Severity::Warning, "link_accept_failed", {{"why", error.message()}});
-        auto retry = std::make_shared<asio::steady_timer>(
-            context_, std::chrono::milliseconds(acceptRetry.milliseconds()));
-        retry->async_wait([this, retry](error_code) { acceptNext(); });
-    });
-}
-
 void ForwardLinks::accepted(asio::ip::tcp::socket socket)
 {
     const LinkId id = nextLink_++;
--- a/Services/SessionProxy/ForwardLinks.h
+++ b/Services/SessionProxy/ForwardLinks.h
@@ -2,6 +2,7 @@
 
 #include <Core/Result.h>
 #include <FleetWire/ForwardCodec.h>
+#include <Services/SessionProxy/Listener.h>
 #include <Services/SessionProxy/StreamConnection.h>
 #include <Sessions/SessionEngine.h>
 
@@ -65,7 +66,6 @@
     };
 
     ForwardLinks(boost::asio::io_context &, Sessions::SessionEngine &, Handlers);
-    void acceptNext();
     void accepted(boost::asio::ip::tcp::socket);
     void outgoingFrame(const Core::NodeName &, std::string_view content);
     void incomingFrame(LinkId, std::string_view content);
@@ -76,9 +76,9 @@
     void sendTo(const Core::NodeName &, const Frame &);
 
     boost::asio::io_context &context_;
-    boost::asio::ip::tcp::acceptor acceptor_;
     Sessions::SessionEngine &sessions_;
     Handlers handlers_;
+    std::unique_ptr<Listener> listener_;
     std::map<Core::NodeName, std::shared_ptr<FrameConnection>> outgoing_;
     std::unordered_map<LinkId, Incoming> incoming_;
     std::unordered_map<Sessions::SessionId, Channel> channels_;
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -38,7 +38,6 @@
               settings_.capacity},
              Core::SteadyClock::now())
     , rates_({settings_.node, settings_.dataCentre, settings_.peerListen})
-    , acceptor_(context)
     , timer_(context)
 { }
 
@@ -68,7 +67,9 @@
                                   [this] {
                                       pump();
                                   }}));
-    TRY(listen());
+    callerListener_ = TRY(
+        Listener::create(context_, settings_.callerListen,
+                         [this](asio::ip::tcp::socket socket) { accepted(std::move(socket)); }));
     startStoreLinks();
     Observe::log(Severity::Info, "started",
                  {{"callers", settings_.callerListen},
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -10,6 +10,7 @@
 #include <Observe/Metrics.h>
 #include <Rates/RateDesk.h>
 #include <Services/SessionProxy/ForwardLinks.h>
+#include <Services/SessionProxy/Listener.h>
 #include <Services/SessionProxy/PeerSocket.h>
 #include <Services/SessionProxy/RelayServer.h>
 #include <Services/SessionProxy/SessionProxySettings.h>
@@ -69,8 +70,6 @@
     };
 
     // Callers.
-    [[nodiscard]] Core::ErrorOr<std::monostate> listen();
-    void acceptNext();
     void accepted(boost::asio::ip::tcp::socket);
     void callerLine(Sessions::SessionId, std::string_view line);
     void callerClosed(Sessions::SessionId);
@@ -124,7 +123,6 @@
     Rates::RateDesk rates_;
     Fleet::RelayDesk relayDesk_; ///< What other proxies of the data centre learn from this one.
     Observe::Metrics metrics_;
-    boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     std::optional<Http::Client> store_;
     std::optional<Http::Client> promotions_;
@@ -133,6 +131,7 @@
     std::unique_ptr<PeerSocket> peers_;
     std::unique_ptr<RelayServer> relayServer_;
     std::unique_ptr<ForwardLinks> forwardLinks_;
+    std::unique_ptr<Listener> callerListener_;
     std::unique_ptr<StoreSources> sources_;
     std::unique_ptr<StoreLink> recordsLink_;
     std::unique_ptr<StoreLink> configurationLink_;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -4,17 +4,14 @@
 #include <Core/SteadyClock.h>
 #include <Fleet/RelayTiming.h>
 #include <FleetWire/PeerMessageCodec.h>
-#include <Services/SessionProxy/Listening.h>
 #include <Services/SessionProxy/NodeTiming.h>
 
-#include <chrono>
 #include <platform/Documents.h>
 
 /// Callers, databases, and what the store tells.
 namespace Chervilpin::SessionProxy {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 using Fleet::ObjectKind;
 using Observe::Severity;
 
@@ -38,28 +35,6 @@
 
 } // namespace
 
-Core::ErrorOr<std::monostate> Node::listen()
-{
-    TRY(listenOn(acceptor_, TRY(Http::parseEndpoint(settings_.callerListen))));
-    acceptNext();
-    return std::monostate();
-}
-
-void Node::acceptNext()
-{
-    acceptor_.async_accept([this](error_code error, asio::ip::tcp::socket socket) {
-        if (!error) {
-            accepted(std::move(socket));
-            acceptNext();
-            return;
-        }
-        Observe::log(Severity::Warning, "accept_failed", {{"why", error.message()}});
-        auto retry = std::make_shared<asio::steady_timer>(
-            context_, std::chrono::milliseconds(acceptRetry.milliseconds()));
-        retry->async_wait([this, retry](error_code) { acceptNext(); });
-    });
-}
-
 void Node::accepted(asio::ip::tcp::socket socket)
 {
     if (callers_.size() >= settings_.maximumSessions) {
