A statement never goes on outside a transaction that its pooler gave up

Found by reading the change once more: a stopping pooler cuts a transaction, and the caller's next statement crosses that word. The pooler refuses it as of a channel that it doesn't know, and the caller's proxy queued it anew, without the transaction: a write would have been kept by itself. Now the transaction is told as rolled back, which it is. The test failed before (the write was done).

--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -150,6 +150,12 @@
     releaseOldPrimary(group, now);
     if (!session || !session->running || session->running->connection != id)
         return;
+    if (session->transaction == TransactionStage::Open) {
+        // The pooler has given the channel up, and with it rolled the transaction back.
+        fail(*session, Failure::Aborted, "the transaction was rolled back: its pooler is stopping",
+             now);
+        return;
+    }
     // It goes on as if it had not been tried there.
     Operation &operation = *session->running;
     operation.stage = Operation::Stage::Queued;
--- a/Tests/Sessions/FleetOfProxies.h
+++ b/Tests/Sessions/FleetOfProxies.h
@@ -164,6 +164,24 @@
     }
     /// Each database counts so many connections of proxies that went dark.
     void holdConnections(unsigned count) { heldConnections_ = count; }
+    /// The pooler no longer knew the channel of the statement that the proxy forwarded last.
+    void refuseLastForwarded(unsigned proxy, ForwardedProgress progress)
+    {
+        ForwardedReply refusal;
+        refusal.progress = progress;
+        refusal.reply.failure = Failure::Busy;
+        // Nothing that was sent before gets to the pooler.
+        events_ = {};
+        proxies_[proxy].engine.forwardedReply(lastForwarded_, refusal, now_);
+        drain(proxy);
+        pass(Core::Duration(100));
+    }
+    /// Statements of a kind that reached a database on a connection without a transaction.
+    [[nodiscard]] unsigned statementsOutsideTransactions(StatementKind kind) const
+    {
+        const auto found = outside_.find(kind);
+        return found == outside_.end() ? 0 : found->second;
+    }
     void stop(unsigned proxy)
     {
         proxies_[proxy].engine.shutDown(now_ + Core::Duration(3'000), now_);
@@ -350,6 +368,7 @@
     {
         const unsigned other = indexOf(forward.node);
         const Key channel{proxy, forward.channel};
+        lastForwarded_ = forward.channel;
         later(other, delay(proxy, other), [this, other, channel, message = forward.statement] {
             auto session = forwardedSessions_.find(channel);
             if (session == forwardedSessions_.end()) {
@@ -448,6 +467,8 @@
         const Core::Duration way =
             delay(proxies_[proxy].dataCentre, databases_.at(database).dataCentre);
         const StatementKind kind = send.statement.kind;
+        if (!found->second.isInTransaction)
+            ++outside_[kind];
         const bool isSlotNeeded = kind == StatementKind::Read || kind == StatementKind::Write
             || kind == StatementKind::Execute || kind == StatementKind::Commit;
         const auto answer = [this, key, way, database, kind] {
@@ -513,6 +534,8 @@
     SessionId nextSession_ = 1;
     unsigned nextStatement_ = 1;
     Counts counts_;
+    ConnectionId lastForwarded_ = 0;
+    std::map<StatementKind, unsigned> outside_;
     std::size_t heldConnections_ = 0;
 };
 
--- a/Tests/Sessions/TestForwarding.cpp
+++ b/Tests/Sessions/TestForwarding.cpp
@@ -185,3 +185,21 @@
     slow.pass(50_ms);
     CHECK(slow.proxiesConnectedTo(0).contains(entry));
 }
+
+/// The pooler cut the transaction at its stop, and the caller's next statement crossed that word.
+TEST(Forwarding, AStatementNeverGoesOnOutsideATransactionThatItsPoolerGaveUp)
+{
+    for (const auto kind : {StatementKind::Write, StatementKind::Commit}) {
+        FleetOfProxies crossing{FleetOfProxies::Shape()};
+        const SessionId session = crossing.open(entry, 0);
+        crossing.say(entry, session, StatementKind::Begin);
+        (void)crossing.takeAnswer(session);
+        crossing.say(entry, session, StatementKind::Write, "1 x");
+        crossing.pass(60_ms);
+        (void)crossing.takeAnswer(session);
+        crossing.say(entry, session, kind, "2 y");
+        crossing.refuseLastForwarded(entry, ForwardedProgress::Stopping);
+        STRCMP_EQUAL("aborted", nameOf(crossing.takeAnswer(session)).c_str());
+        LONGS_EQUAL(0, crossing.statementsOutsideTransactions(kind));
+    }
+}
