A link is logged once as lost and once as regained

Each failed probe of a pooler logged it as lost again, up to ten times a second in a cut, and its return had no line.

--- a/Libraries/Sessions/PoolerTable.cpp
+++ b/Libraries/Sessions/PoolerTable.cpp
@@ -108,6 +108,12 @@
     return found == contacts_.end() ? Link::Closed : found->second.link;
 }
 
+bool PoolerTable::isFailing(const Core::NodeName &node) const
+{
+    const auto found = contacts_.find(node);
+    return found != contacts_.end() && found->second.failures > 0;
+}
+
 void PoolerTable::opening(const Core::NodeName &node, Core::Instant now)
 {
     Contact &contact = contacts_[node];
--- a/Libraries/Sessions/PoolerTable.h
+++ b/Libraries/Sessions/PoolerTable.h
@@ -49,6 +49,8 @@
         Up,
     };
     [[nodiscard]] Link linkTo(const Core::NodeName &) const;
+    /// Whether the proxy failed and has not answered since.
+    [[nodiscard]] bool isFailing(const Core::NodeName &) const;
     void opening(const Core::NodeName &, Core::Instant now);
     void opened(const Core::NodeName &, Core::Instant now);
     /// The link broke, or could not be opened. The proxy isn't chosen again before a probe of it
--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -182,6 +182,8 @@
 
 void SessionEngine::linkHeard(const Core::NodeName &node, Core::Instant now)
 {
+    if (poolers_.isFailing(node))
+        log(Importance::Always, "link_regained", {{"node", node.value()}});
     poolers_.heard(node, now);
 }
 
@@ -194,8 +196,10 @@
         if (connection.pooler == node)
             channels.push_back(id);
     }
-    log(Importance::Always, "link_lost",
-        {{"node", node.value()}, {"channels", std::to_string(channels.size())}});
+    // A probe that failed tells nothing new.
+    if (!poolers_.isFailing(node))
+        log(Importance::Always, "link_lost",
+            {{"node", node.value()}, {"channels", std::to_string(channels.size())}});
     poolers_.lost(node, now);
     for (const ConnectionId id : channels) {
         if (findConnection(id))
--- a/Tests/Sessions/FleetOfProxies.h
+++ b/Tests/Sessions/FleetOfProxies.h
@@ -150,6 +150,7 @@
     // Troubles.
     /// The process is frozen: its connections stay, and it neither reads nor writes.
     void freeze(unsigned proxy) { proxies_[proxy].isDown = true; }
+    void thaw(unsigned proxy) { proxies_[proxy].isDown = false; }
     /// The process is killed: all ends of its connections learn of it at once.
     void kill(unsigned proxy)
     {
@@ -176,6 +177,12 @@
         drain(proxy);
         pass(Core::Duration(100));
     }
+    /// How many lines of a name all proxies logged.
+    [[nodiscard]] unsigned linesLogged(const std::string &name) const
+    {
+        const auto found = lines_.find(name);
+        return found == lines_.end() ? 0 : found->second;
+    }
     /// Statements of a kind that reached a database on a connection without a transaction.
     [[nodiscard]] unsigned statementsOutsideTransactions(StatementKind kind) const
     {
@@ -350,6 +357,7 @@
                 [&](const AnswerForwarded &answer) { sendAnswer(proxy, answer); },
                 [&](const EndSession &end) { endSession(proxy, end); },
                 [&](const ReportReleased &report) { proxies_[proxy].released = report.revision; },
+                [&](const LogLine &line) { ++lines_[line.name]; },
                 [](const auto &) {},
             },
             action);
@@ -535,6 +543,7 @@
     unsigned nextStatement_ = 1;
     Counts counts_;
     ConnectionId lastForwarded_ = 0;
+    std::map<std::string, unsigned> lines_;
     std::map<StatementKind, unsigned> outside_;
     std::size_t heldConnections_ = 0;
 };
--- a/Tests/Sessions/TestForwarding.cpp
+++ b/Tests/Sessions/TestForwarding.cpp
@@ -203,3 +203,19 @@
         LONGS_EQUAL(0, crossing.statementsOutsideTransactions(kind));
     }
 }
+
+TEST(Forwarding, ALinkIsLoggedOnceAsLostAndOnceAsRegained)
+{
+    const SessionId session = fleet.open(entry, 0);
+    fleet.say(entry, session, StatementKind::Write, "1 x");
+    fleet.pass(60_ms);
+    fleet.freeze(pooler);
+    fleet.say(entry, session, StatementKind::Write, "2 y");
+    fleet.pass(5_s);
+    LONGS_EQUAL(1, fleet.linesLogged("link_lost"));
+    LONGS_EQUAL(0, fleet.linesLogged("link_regained"));
+    fleet.thaw(pooler);
+    fleet.pass(5_s);
+    LONGS_EQUAL(1, fleet.linesLogged("link_lost"));
+    LONGS_EQUAL(1, fleet.linesLogged("link_regained"));
+}
