Evacuated data centres, regions of routes and teams, and cold databases are heeded

Ruled out: following evacuations with the configuration; the store has one watch a kind.

Change: the evacuations are a fourth kind of objects that each proxy follows, by feeds as the others. Replicas of an evacuated data centre get nothing from then on; its primaries are replaced by the leader as when they drain, and are used for a grace period that is the users' bound less the longest lag of a feed; then their connections are closed and statements are refused after 0.4 s. Candidates there are not promoted. If all are evacuated, the primary stays in its record and is not used. A silent member keeps the old primary for 0.8 s at most; after that its lease has to lapse (11 s), and callers are refused meanwhile: not solved here. Databases and poolers outside the regions are filtered before placement. A cold database is reached through its pooler only, which keeps half of its rate, and is the last choice. Where the settings have no bound, evacuations are not followed and no call is made for them.

Tests: EvacuationTable, Restrictions, Evacuation (with a random series of evacuations, cuts and pauses against the fence), Documents. None of the calls existed before.

--- a/Libraries/Core/Name.h
+++ b/Libraries/Core/Name.h
@@ -36,6 +36,7 @@
 
 using NodeName = Name<struct NodeNameTag>;             ///< One proxy process on one VM.
 using DataCentreName = Name<struct DataCentreNameTag>; ///< One data centre.
+using RegionName = Name<struct RegionNameTag>;         ///< One region of data centres.
 using GroupName = Name<struct GroupNameTag>;           ///< One group of upstream databases.
 using DatabaseName = Name<struct DatabaseNameTag>; ///< One upstream database, unique in the fleet.
 using TeamName = Name<struct TeamNameTag>;         ///< One tenant.
--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -157,20 +157,41 @@
         state.databases.clear();
     for (const auto &entry : entries)
         groups_[entry.group].databases.push_back(entry);
+    updateLeaving(now);
+    nextReviewAt_ = now;
+}
+
+void FleetEngine::evacuationsChanged(std::span<const Core::DataCentreName> dataCentres,
+                                     Core::Instant now)
+{
+    evacuated_ = {dataCentres.begin(), dataCentres.end()};
+    updateLeaving(now);
+    nextReviewAt_ = now;
+}
+
+void FleetEngine::updateLeaving(Core::Instant now)
+{
+    const auto update = [now](std::optional<Core::Instant> &since, bool isSo) {
+        if (!isSo)
+            since.reset();
+        else if (!since)
+            since = now;
+    };
     for (auto &[group, state] : groups_) {
         const auto *primary = view_.findPrimary(group);
-        const bool isLeaving =
-            primary
-            && std::ranges::any_of(state.databases, [&](const Sessions::DatabaseEntry &entry) {
-                   return entry.id == primary->record.database
-                       && entry.availability == Sessions::DatabaseAvailability::Draining;
-               });
-        if (!isLeaving)
-            state.leavingSince.reset();
-        else if (!state.leavingSince)
-            state.leavingSince = now;
+        const auto entry = primary ? std::ranges::find(state.databases, primary->record.database,
+                                                       &Sessions::DatabaseEntry::id)
+                                   : state.databases.end();
+        const bool isListed = entry != state.databases.end();
+        update(state.leavingSince,
+               isListed && entry->availability == Sessions::DatabaseAvailability::Draining);
+        update(state.evacuatingSince, isListed && isEvacuated(*entry));
     }
-    nextReviewAt_ = now;
+}
+
+bool FleetEngine::isEvacuated(const Sessions::DatabaseEntry &entry) const
+{
+    return evacuated_.contains(entry.dataCentre);
 }
 
 void FleetEngine::storeReachable(bool isReachable, Core::Instant now)
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -8,6 +8,7 @@
 #include <Sessions/RoutingTable.h>
 
 #include <map>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -46,6 +47,9 @@
     void heartbeat(const Heartbeat &, Core::Instant now);
     void directoryChanged(std::span<const Sessions::DatabaseEntry>, Core::Instant now);
 
+    /// Sets the data centres that the operators are evacuating.
+    void evacuationsChanged(std::span<const Core::DataCentreName>, Core::Instant now);
+
     /// Contact with the store was lost or regained.
     void storeReachable(bool isReachable, Core::Instant now);
 
@@ -84,6 +88,8 @@
         Revision replaces = 0;
         Core::Instant replacingSince;
         std::optional<Core::Instant> leavingSince; ///< When the primary was first seen draining.
+        /// Since when the primary's data centre is being evacuated.
+        std::optional<Core::Instant> evacuatingSince;
         std::vector<Sessions::DatabaseEntry> databases;
     };
 
@@ -142,6 +148,11 @@
                                                                      const GroupState &,
                                                                      const Stored<PrimaryRecord> &,
                                                                      Core::Instant now) const;
+    void updateLeaving(Core::Instant now);
+    [[nodiscard]] bool isEvacuated(const Sessions::DatabaseEntry &) const;
+    /// Whether a silent member still holds a lease, for which a planned replacement waits.
+    [[nodiscard]] bool mayWaitForSilentMembers(const std::optional<Core::Instant> &plannedSince,
+                                               Core::Duration timeout, Core::Instant now) const;
     [[nodiscard]] bool isAnyMemberSilent(Core::Instant now) const;
     [[nodiscard]] bool isPrimaryDown(const Core::GroupName &, const GroupState &,
                                      Core::Instant now) const;
@@ -200,6 +211,7 @@
     Core::Instant nextReviewAt_;
     std::map<Core::NodeName, Core::Instant> memberSince_; ///< When the member was first seen.
     std::map<Core::NodeName, Retirement> retirements_;
+    std::set<Core::DataCentreName> evacuated_; ///< The data centres being evacuated.
     /// When the first record of a group was last written; it is retried after heartbeatInterval.
     std::map<Core::GroupName, Core::Instant> firstPrimaryWrittenAt_;
     bool isStoreLost_ = false;
--- a/Libraries/Fleet/FleetEngineLeadership.cpp
+++ b/Libraries/Fleet/FleetEngineLeadership.cpp
@@ -314,11 +314,7 @@
         std::ranges::find(state.databases, primary.record.database, &Sessions::DatabaseEntry::id);
     if (entry != state.databases.end()
         && entry->availability == Sessions::DatabaseAvailability::Draining) {
-        // Callers are served by the draining primary until the leases of a silent member have
-        // expired.
-        const bool mayWait =
-            state.leavingSince && now < *state.leavingSince + drainingPrimaryTimeout;
-        if (mayWait && isAnyMemberSilent(now))
+        if (mayWaitForSilentMembers(state.leavingSince, drainingPrimaryTimeout, now))
             return {};
         return ReplacementReason::Leaving;
     }
@@ -326,9 +322,22 @@
         return ReplacementReason::Failed;
     if (isPrimaryDown(group, state, now))
         return ReplacementReason::Failed;
+    const bool isElsewhereReady = std::ranges::any_of(state.databases, [&](const auto &other) {
+        return other.availability == Sessions::DatabaseAvailability::Ready && !isEvacuated(other);
+    });
+    if (isEvacuated(*entry) && isElsewhereReady
+        && !mayWaitForSilentMembers(state.evacuatingSince, evacuatedPrimaryTimeout, now))
+        return ReplacementReason::Evacuating;
     return {};
 }
 
+bool FleetEngine::mayWaitForSilentMembers(const std::optional<Core::Instant> &plannedSince,
+                                          Core::Duration timeout, Core::Instant now) const
+{
+    // Callers are served by the old primary until the leases of a silent member have expired.
+    return plannedSince && now < *plannedSince + timeout && isAnyMemberSilent(now);
+}
+
 bool FleetEngine::isAnyMemberSilent(Core::Instant now) const
 {
     return std::ranges::any_of(view_.members(), [&](const auto &entry) {
@@ -389,7 +398,11 @@
 {
     PlanInputs inputs;
     inputs.highestMark = state.mark;
+    const Sessions::DatabaseEntry *lastResort = nullptr;
     for (const auto &entry : state.databases) {
+        if (isEvacuated(entry))
+            continue;
+        lastResort = lastResort ? lastResort : &entry;
         if (entry.availability != Sessions::DatabaseAvailability::Ready)
             continue;
         if (entry.id == plan.oldPrimary())
@@ -397,8 +410,8 @@
         else
             inputs.candidates.push_back(entry.id);
     }
-    if (inputs.candidates.empty() && !state.databases.empty())
-        inputs.candidates.push_back(state.databases.front().id);
+    if (inputs.candidates.empty() && lastResort)
+        inputs.candidates.push_back(lastResort->id);
     for (const auto &[node, peer] : peers_.all()) {
         const auto report =
             std::ranges::find(peer.lastHeartbeat.primaries, group, &PrimaryReport::group);
--- a/Libraries/Fleet/ObjectKind.h
+++ b/Libraries/Fleet/ObjectKind.h
@@ -10,9 +10,10 @@
     Directory,     ///< The databases, each of which writes its own entry.
     Configuration, ///< The configuration set by the operators.
     Records,       ///< The records of the proxies (see Records.h).
+    Evacuations,   ///< The data centres that the operators are evacuating.
 };
 
-constexpr std::size_t objectKindCount = 3;
+constexpr std::size_t objectKindCount = 4;
 
 [[nodiscard]] constexpr std::string_view toString(ObjectKind kind)
 {
@@ -21,6 +22,8 @@
         return "directory";
     case ObjectKind::Configuration:
         return "configuration";
+    case ObjectKind::Evacuations:
+        return "evacuations";
     case ObjectKind::Records:
         break;
     }
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -28,7 +28,15 @@
 
 const char *toString(ReplacementReason reason)
 {
-    return reason == ReplacementReason::Failed ? "failed" : "leaving";
+    switch (reason) {
+    case ReplacementReason::Failed:
+        return "failed";
+    case ReplacementReason::Leaving:
+        return "leaving";
+    case ReplacementReason::Evacuating:
+        break;
+    }
+    return "evacuating";
 }
 
 PromotionPlan::PromotionPlan(PrimaryRecord old, Revision revision, ReplacementReason reason,
@@ -127,7 +135,8 @@
     const auto candidate = bestCandidate(inputs);
     if (!candidate)
         return false;
-    if (reason_ == ReplacementReason::Leaving && now < choosingSince_ + catchUpTimeout)
+    // A primary that is replaced as planned goes on until its last commits have arrived.
+    if (reason_ != ReplacementReason::Failed && now < choosingSince_ + catchUpTimeout)
         return statuses_.at(*candidate).received >= inputs.highestMark;
     const bool areAllStatusesKnown =
         std::ranges::all_of(inputs.candidates, [&](const auto &database) {
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -20,8 +20,9 @@
 constexpr Core::Duration leaseDuration{11'000};
 
 enum class ReplacementReason {
-    Failed,  ///< The primary answers no proxy, or was removed from the directory.
-    Leaving, ///< The primary is draining.
+    Failed,     ///< The primary answers no proxy, or was removed from the directory.
+    Leaving,    ///< The primary is draining.
+    Evacuating, ///< The operators are evacuating the primary's data centre.
 };
 
 [[nodiscard]] const char *toString(ReplacementReason);
@@ -32,10 +33,12 @@
     /// Whether every member has adopted the record that replaces the old primary, or its lease has
     /// expired.
     bool isFenced = false;
-    /// Databases that can be promoted: listed, ready and not the old primary. If there is none, the
-    /// first listed database, whatever its state.
+    /// Databases that can be promoted: listed, ready, not the old primary and not in a data centre
+    /// that is being evacuated. If there is none, the first listed database outside such data
+    /// centres, whatever its state.
     std::vector<Core::DatabaseName> candidates;
-    /// Whether the old primary is still listed and not draining, so that it may stay the primary.
+    /// Whether the old primary is still listed, not draining and not being evacuated, so that it
+    /// may stay the primary.
     bool canRestoreOldPrimary = false;
     /// The highest log position of the old primary that any proxy has seen.
     Core::LogMark highestMark;
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -66,6 +66,9 @@
 /// A draining primary is used for at most this long while a silent member still holds a lease to
 /// it. A draining database serves for 7 s or more, and replacing it takes a second.
 constexpr Core::Duration drainingPrimaryTimeout{4'000};
+/// A primary whose data centre is being evacuated is used for at most this long while a silent
+/// member still holds a lease to it. The proxies use it only a little longer by themselves.
+constexpr Core::Duration evacuatedPrimaryTimeout{800};
 /// Added to the duration of a lease to allow for clocks that run at different rates.
 constexpr Core::Duration maximumClockDrift{200};
 
--- a/Libraries/FleetWire/RelayCodec.cpp
+++ b/Libraries/FleetWire/RelayCodec.cpp
@@ -19,6 +19,8 @@
         return wire::RelayQuestion::DIRECTORY;
     case ObjectKind::Configuration:
         return wire::RelayQuestion::CONFIGURATION;
+    case ObjectKind::Evacuations:
+        return wire::RelayQuestion::EVACUATIONS;
     case ObjectKind::Records:
         break;
     }
@@ -34,6 +36,8 @@
         return ObjectKind::Configuration;
     case wire::RelayQuestion::RECORDS:
         return ObjectKind::Records;
+    case wire::RelayQuestion::EVACUATIONS:
+        return ObjectKind::Evacuations;
     default:
         return failure(ErrorCode::InvalidArgument,
                        "relay request has unknown object kind "
--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -88,6 +88,8 @@
     /// Until then, statements bypass the pooler, since it could not reach the database or a
     /// statement through it timed out.
     Core::Instant bypassPoolerUntil;
+    Core::Instant coldUntil; ///< It is slow after its start until then.
+    Core::Pace coldPace;     ///< Limits statements while it is cold.
     bool isDelisted = false; ///< Removed from the directory; kept while connections exist.
 
     /// Whether connections have failed repeatedly for at least primaryUnreachableTimeout, without a
--- a/Libraries/Sessions/Placement.cpp
+++ b/Libraries/Sessions/Placement.cpp
@@ -46,14 +46,17 @@
                                   std::span<const Candidate> candidates)
 {
     std::optional<std::size_t> best;
+    bool isBestCold = false;
     double bestCost = 0;
     for (const auto &candidate : candidates) {
         if (!hasFreeCapacity(candidate))
             continue;
         const double cost = expectedMilliseconds(requirement, candidate);
-        if (best && cost >= bestCost)
+        const bool isBetter = candidate.isCold != isBestCold ? isBestCold : cost < bestCost;
+        if (best && !isBetter)
             continue;
         best = candidate.index;
+        isBestCold = candidate.isCold;
         bestCost = cost;
     }
     return best;
--- a/Libraries/Sessions/Placement.h
+++ b/Libraries/Sessions/Placement.h
@@ -28,6 +28,7 @@
     bool isPrimary = false;
     bool hasConnection = false; ///< Whether there is an idle connection of the team.
     bool canOpen = false; ///< Whether a connection may be opened, possibly by evicting another one.
+    bool isCold = false;  ///< Whether it is slow after its start; chosen only if no other can be.
     bool isNear = false;  ///< Whether it is in the proxy's own data centre.
     unsigned outstanding = 0;       ///< Statements of this proxy that it has not answered.
     unsigned limit = 1;             ///< The maximum of outstanding.
--- a/Libraries/Sessions/RoutingTable.h
+++ b/Libraries/Sessions/RoutingTable.h
@@ -4,6 +4,7 @@
 #include <Core/Name.h>
 #include <Sessions/Statement.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -32,12 +33,16 @@
     Core::Duration maximumAge;  ///< The maximum age for reads with BoundedAge and ReadOwnWrites.
     std::uint32_t priority = 0; ///< 0 is the highest.
     bool isOpenToAll = false;   ///< Whether callers may connect without a key.
+    /// The regions in which the route may be served; empty if it may be served anywhere.
+    std::vector<Core::RegionName> allowedRegions;
 };
 
 struct TeamLimits
 {
     double ratePerSecond = 0; ///< Operations of the whole fleet; 0 is unlimited.
     double burst = 0;
+    /// The regions in which the team may be served; empty if it may be served anywhere.
+    std::vector<Core::RegionName> allowedRegions;
 };
 
 struct GroupLimits
@@ -45,6 +50,9 @@
     std::uint32_t maximumConnections = 0; ///< The maximum per database, for all proxies together.
     /// The number of replicas that must have a commit before it is acknowledged.
     std::uint32_t synchronousReplicas = 0;
+    /// Statements per second that a database takes for some time after its start, from all proxies
+    /// together; 0 is unlimited.
+    double coldRatePerSecond = 0;
 };
 
 /// One version of the operators' configuration, in the form that is used to route statements.
@@ -58,6 +66,15 @@
     /// A transaction that is idle for longer is rolled back.
     Core::Duration transactionIdleTimeout{3'000};
 
+    /// Whether a route or a team is limited to regions.
+    [[nodiscard]] bool hasRegionLimits() const
+    {
+        return std::ranges::any_of(
+                   routes, [](const auto &entry) { return !entry.second->allowedRegions.empty(); })
+            || std::ranges::any_of(
+                   teams, [](const auto &entry) { return !entry.second.allowedRegions.empty(); });
+    }
+
     [[nodiscard]] std::shared_ptr<const Route> findRoute(std::string_view database) const
     {
         const auto found = routes.find(database);
@@ -91,6 +108,8 @@
     DatabaseRole role = DatabaseRole::Replica; ///< As reported by the database itself.
     /// Wall-clock time of its start. A database that was restarted counts as another one.
     std::int64_t startedAtMilliseconds = 0;
+    /// How long it stays slow after its start, as of when it wrote the entry.
+    Core::Duration coldRemaining;
 };
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -18,6 +18,7 @@
 void SessionEngine::configure(RoutingTablePointer table, Core::Instant now)
 {
     table_ = std::move(table);
+    isAnyRegionLimited_ = table_->hasRegionLimits();
     for (const auto &[name, limits] : table_->groups)
         groups_[name].name = name;
     for (auto &[id, session] : sessions_) {
@@ -58,6 +59,8 @@
             database.lastKnownMark = {};
             database.lag = {};
         }
+        if (isNew || database.entry.coldRemaining != entry.coldRemaining)
+            database.coldUntil = now + entry.coldRemaining;
         database.entry = entry;
         database.isDelisted = false;
     }
@@ -226,6 +229,7 @@
     while (nextDeadline() <= now) {
         if (isReviewScheduled_ && reviewAt_ <= now) {
             isReviewScheduled_ = false;
+            reviewEvacuations(now);
             reviewConnections(now);
             for (auto &[name, group] : groups_)
                 reviewGroup(group, now);
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -4,8 +4,10 @@
 #include <Sessions/Actions.h>
 #include <Sessions/ConnectionLimits.h>
 #include <Sessions/Database.h>
+#include <Sessions/EvacuationTable.h>
 #include <Sessions/Placement.h>
 #include <Sessions/PoolerTable.h>
+#include <Sessions/RegionMap.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/Session.h>
 
@@ -49,6 +51,14 @@
     void setMemberCount(std::size_t, Core::Instant now);
     /// Sets the proxies that may be poolers, including this one.
     void setPoolMembers(std::vector<PoolerCandidate>, Core::Instant now);
+    void setRegions(RegionMap regions) { regions_ = std::move(regions); }
+    /// How long a primary is used after the evacuation of its data centre was learned of.
+    void setEvacuationGracePeriod(Core::Duration gracePeriod)
+    {
+        evacuations_.setGracePeriod(gracePeriod);
+    }
+    /// Sets the data centres that are being evacuated.
+    void evacuationsChanged(std::span<const Core::DataCentreName>, Core::Instant now);
     /// Queries the status of a database as soon as a connection is available. Emits no ReportStatus
     /// if the database does not reply.
     void queryStatus(const Core::DatabaseName &, Core::Instant now);
@@ -116,9 +126,11 @@
 
     // Placement and sending.
     void dispatch(Group &, Core::Instant now);
-    /// Whether no database can serve the statement in time: the primary has been unusable for at
-    /// least primaryOutageThreshold, and no replica may serve it.
-    [[nodiscard]] bool isUnservable(const Session &, Group &, Core::Instant now);
+    /// Returns why no database can serve the statement in time, if so: none is in its regions, or
+    /// the primary has been unusable for at least primaryOutageThreshold and no replica may serve
+    /// it.
+    [[nodiscard]] std::optional<std::string_view> unservableReason(const Session &, Group &,
+                                                                   Core::Instant now);
     [[nodiscard]] bool place(Session &, Group &, Core::Instant now);
     [[nodiscard]] Placement::Requirement needOf(const Session &, const Group &,
                                                 Core::Instant now) const;
@@ -128,7 +140,7 @@
                                                 const Placement::Requirement &, Core::Instant now);
     [[nodiscard]] Connection *findIdle(const Database &, const Core::TeamName &,
                                        const SessionValues &);
-    [[nodiscard]] double evictionRate(const Database &);
+    [[nodiscard]] double evictionRate(const Database &, Core::Instant now);
     [[nodiscard]] const Connection *findEvictionCandidate(const Database &) const;
     [[nodiscard]] bool isAnyInUseForStatement(const Database &, const Core::TeamName &) const;
     [[nodiscard]] bool isOpening(const Database &, const Core::TeamName &) const;
@@ -140,9 +152,26 @@
     void send(Connection &, ReplyPurpose, Statement, std::optional<Core::LogMark>,
               Core::Instant now);
 
+    // Restrictions on databases.
+    [[nodiscard]] bool isInAllowedRegion(const Session &, const Core::DataCentreName &) const;
+    /// Whether the database may not be used because of an evacuation or of its region.
+    [[nodiscard]] bool isRestricted(const Session &, const Database &, bool isPrimary,
+                                    Core::Instant now) const;
+    /// Whether no database that could run the statement is in an allowed region.
+    [[nodiscard]] bool isOutsideAllowedRegions(const Session &, const Group &, Core::Instant now);
+    void reviewEvacuations(Core::Instant now);
+    /// Statements per second that its pooler may send to a cold database; 0 if it isn't cold.
+    [[nodiscard]] double coldRateOf(const Database &, Core::Instant now) const;
+    [[nodiscard]] bool isCold(const Database &, Core::Instant now) const;
+    /// Whether this proxy itself may send a statement to a cold database now.
+    [[nodiscard]] bool mayStartOnCold(Database &, Core::Instant now);
+    void countColdStart(Database &, Core::Instant now);
+
     // Forwarding to poolers and on behalf of other proxies.
-    [[nodiscard]] const PoolerCandidate *poolerOf(const Database &, Core::Instant now);
-    [[nodiscard]] bool isPooled(const Database &) const;
+    /// Returns the proxy to forward the session's statements for this database to, or null.
+    [[nodiscard]] const PoolerCandidate *poolerOf(const Session &, const Database &,
+                                                  Core::Instant now);
+    [[nodiscard]] bool isPooled(const Database &, Core::Instant now) const;
     void openLinkTo(const PoolerCandidate &, Core::Instant now);
     void assignChannel(Session &, Database &, const PoolerCandidate &, Core::Instant now);
     void forward(Session &, Connection &, Core::Instant now);
@@ -212,7 +241,10 @@
 
     Core::DataCentreName dataCentre_;
     PoolerTable poolers_;
-    RoutingTablePointer table_; ///< Empty, with version 0, until a configuration is known.
+    EvacuationTable evacuations_;
+    RegionMap regions_;
+    bool isAnyRegionLimited_ = false; ///< Whether table_ limits a route or team to regions.
+    RoutingTablePointer table_;       ///< Empty, with version 0, until a configuration is known.
     std::unordered_map<SessionId, Session> sessions_;
     std::unordered_map<ConnectionId, Connection> connections_;
     std::map<Core::DatabaseName, Database> databases_;
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -12,6 +12,11 @@
 
 constexpr std::string_view primaryBeingReplacedMessage =
     "this proxy may not use the primary now, as it is being replaced; try again in 1000 ms";
+constexpr std::string_view primaryEvacuatedMessage =
+    "the data centre of the primary is being evacuated; try again in 1000 ms";
+constexpr std::string_view outsideRegionsMessage =
+    "no database is in a region in which the route and the team may be served; try again in 1000 "
+    "ms";
 constexpr std::string_view primaryUnreachableMessage =
     "the primary doesn't answer this proxy; try again in 1000 ms";
 
@@ -34,50 +39,56 @@
 
 void SessionEngine::dispatch(Group &group, Core::Instant now)
 {
-    std::vector<SessionId> unservable;
+    std::vector<std::pair<SessionId, std::string_view>> unservable;
     // Sending ends no session synchronously, so the queue is modified only here.
     std::erase_if(group.queue, [&](SessionId id) {
         Session *session = findSession(id);
         if (!session || !session->running)
             return true;
-        if (isUnservable(*session, group, now)) {
-            unservable.push_back(id);
+        if (const auto reason = unservableReason(*session, group, now)) {
+            unservable.emplace_back(id, *reason);
             return true;
         }
         return place(*session, group, now);
     });
-    for (const SessionId id : unservable) {
+    for (const auto &[id, reason] : unservable) {
         Session &session = sessions_.at(id);
         returnAdmission(session);
-        fail(session, Failure::Busy,
-             std::string(group.mayUsePrimary(now) ? primaryUnreachableMessage
-                                                  : primaryBeingReplacedMessage),
-             now);
+        fail(session, Failure::Busy, std::string(reason), now);
         operationEnded(session, now);
     }
 }
 
-bool SessionEngine::isUnservable(const Session &session, Group &group, Core::Instant now)
+std::optional<std::string_view> SessionEngine::unservableReason(const Session &session,
+                                                                Group &group, Core::Instant now)
 {
+    if (isAnyRegionLimited_ && isOutsideAllowedRegions(session, group, now))
+        return outsideRegionsMessage;
     const Database *primary = findDatabase(group.primary);
     const bool isUnreachable = primary && primary->isUnreachable(now);
-    const bool isUsable = group.mayUsePrimary(now) && !isUnreachable;
+    const bool isEvacuated =
+        primary && evacuations_.useOf(primary->entry.dataCentre, now) == EvacuationTable::Use::None;
+    const bool isUsable = group.mayUsePrimary(now) && !isUnreachable && !isEvacuated;
     if (isUsable) {
         group.outageSince = Core::Instant();
-        return false;
+        return {};
     }
     if (group.outageSince == Core::Instant())
         group.outageSince = now;
     if (session.forwarded || now < group.outageSince + primaryOutageThreshold)
-        return false;
+        return {};
     if (!isPrimaryOnly(session) && needOf(session, group, now).mark)
-        return false;
-    if (group.mayUsePrimary(now) && now >= group.nextProbeAt) {
+        return {};
+    if (isEvacuated)
+        return primaryEvacuatedMessage;
+    if (!group.mayUsePrimary(now))
+        return primaryBeingReplacedMessage;
+    if (now >= group.nextProbeAt) {
         // Only a statement can show that the primary is reachable again.
         group.nextProbeAt = now + unreachableProbeInterval;
-        return false;
+        return {};
     }
-    return true;
+    return primaryUnreachableMessage;
 }
 
 Placement::Requirement SessionEngine::needOf(const Session &session, const Group &group,
@@ -118,18 +129,23 @@
             continue;
         if (!isPrimary && !isEligibleReplica(database, need, now))
             continue;
+        if (isRestricted(session, database, isPrimary, now))
+            continue;
         Placement::Candidate candidate;
         candidate.index = i;
         candidate.isPrimary = isPrimary;
         candidate.isNear = database.entry.dataCentre == dataCentre_;
         candidate.outstanding = database.outstanding;
-        candidate.limit = isPooled(database) && poolers_.isSelf(database.entry, now)
+        candidate.isCold = isCold(database, now);
+        candidate.limit = isPooled(database, now) && poolers_.isSelf(database.entry, now)
             ? Placement::poolerLimit(database.entry.slots)
             : Placement::statementLimit(database.entry.slots, memberCount_);
         candidate.serviceMilliseconds = database.serviceMilliseconds;
-        if (const PoolerCandidate *pooler = poolerOf(database, now)) {
+        if (const PoolerCandidate *pooler = poolerOf(session, database, now)) {
             candidate.hasConnection = poolers_.linkTo(pooler->node) == PoolerTable::Link::Up;
             candidate.canOpen = true;
+        } else if (candidate.isCold && !mayStartOnCold(database, now)) {
+            continue;
         } else {
             candidate.hasConnection = findIdle(database, session.team, session.state.values());
             candidate.canOpen = now >= database.openAfter;
@@ -160,7 +176,7 @@
     if (!chosen)
         return false;
     Database &database = databases_.at(group.databases[*chosen]);
-    const PoolerCandidate *pooler = poolerOf(database, now);
+    const PoolerCandidate *pooler = poolerOf(session, database, now);
     Connection *connection =
         pooler ? nullptr : findIdle(database, session.team, session.state.values());
     if (pooler && poolers_.linkTo(pooler->node) != PoolerTable::Link::Up) {
@@ -176,10 +192,12 @@
     session.running->isOnReplica = isReplica;
     session.running->atLeast = isReplica ? need.mark : std::nullopt;
     database.lastPlacedAt = now;
-    if (pooler)
+    if (pooler) {
         assignChannel(session, database, *pooler, now);
-    else
-        assign(session, *connection, now);
+        return true;
+    }
+    countColdStart(database, now);
+    assign(session, *connection, now);
     return true;
 }
 
@@ -217,7 +235,7 @@
     const auto limits = limitsOf(database);
     if (!limits)
         return {};
-    if (!isPooled(database))
+    if (!isPooled(database, now))
         return ConnectionLimits::forProxy(limits->maximumConnections, memberCount_,
                                           table_->teams.size());
     return poolers_.isSelf(database.entry, now)
@@ -225,10 +243,10 @@
         : ConnectionLimits::forNonPooler(limits->maximumConnections);
 }
 
-double SessionEngine::evictionRate(const Database &database)
+double SessionEngine::evictionRate(const Database &database, Core::Instant now)
 {
     const double slotMilliseconds = 1'000.0 * database.entry.slots * evictionSlotFraction;
-    const std::size_t proxies = isPooled(database) ? 1 : memberCount_;
+    const std::size_t proxies = isPooled(database, now) ? 1 : memberCount_;
     return slotMilliseconds / openSlotMilliseconds / static_cast<double>(proxies);
 }
 
@@ -290,7 +308,7 @@
             scheduleReview(now + evictionWaitTime);
             return;
         }
-        if (!database.evictions.take(evictionRate(database), evictionBurst, now)) {
+        if (!database.evictions.take(evictionRate(database, now), evictionBurst, now)) {
             scheduleReview(now + evictionWaitTime);
             return;
         }
--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -28,19 +28,24 @@
     dispatchAll(now);
 }
 
-bool SessionEngine::isPooled(const Database &database) const
+bool SessionEngine::isPooled(const Database &database, Core::Instant now) const
 {
+    // The pooler of a cold database limits the statements of all proxies.
+    if (memberCount_ > 1 && isCold(database, now))
+        return true;
     const auto limits = limitsOf(database);
     return limits
         && ConnectionLimits::isPoolerNeeded(limits->maximumConnections, memberCount_,
                                             table_->teams.size());
 }
 
-const PoolerCandidate *SessionEngine::poolerOf(const Database &database, Core::Instant now)
+const PoolerCandidate *SessionEngine::poolerOf(const Session &session, const Database &database,
+                                               Core::Instant now)
 {
-    if (now < database.bypassPoolerUntil || !isPooled(database))
+    if (now < database.bypassPoolerUntil || !isPooled(database, now))
         return nullptr;
-    return poolers_.choose(database.entry, now);
+    const PoolerCandidate *pooler = poolers_.choose(database.entry, now);
+    return pooler && isInAllowedRegion(session, pooler->dataCentre) ? pooler : nullptr;
 }
 
 // Forwarding side: the proxy that has the caller.
@@ -288,6 +293,10 @@
     const bool isPrimary = group.primary == need.database && group.mayUsePrimary(now);
     if (need.isPrimaryNeeded && !isPrimary)
         return "this proxy has no right to the primary";
+    const auto use = evacuations_.useOf(database->entry.dataCentre, now);
+    if (use == EvacuationTable::Use::None
+        || (use == EvacuationTable::Use::PrimaryOnly && !need.isPrimaryNeeded))
+        return "the data centre of the database is being evacuated";
     if (database->failingSince != Core::Instant() && now < database->openAfter)
         return "the database can't be reached from here";
     return {};
@@ -311,6 +320,11 @@
             openFor(database, session.team, now - session.running->arrived, now);
         return false;
     }
+    if (isCold(database, now) && !mayStartOnCold(database, now)) {
+        scheduleReview(now + coldReviewInterval);
+        return false;
+    }
+    countColdStart(database, now);
     session.running->isOnReplica = !need.isPrimaryNeeded;
     session.running->atLeast = need.atLeast;
     assign(session, *connection, now);
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -56,6 +56,8 @@
 constexpr Core::Duration lagProbeInterval{200};
 /// Deducted from the maximum age of a read, to allow for the network delay to the database.
 constexpr Core::Duration ageMargin{100};
+/// Interval at which statements that wait for a cold database are looked at.
+constexpr Core::Duration coldReviewInterval{50};
 /// How long a running statement or transaction may continue after its key was withdrawn. Users
 /// expect this to take effect within seconds.
 constexpr Core::Duration withdrawnKeyGracePeriod{1'500};
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -39,7 +39,10 @@
              Core::SteadyClock::now())
     , rates_({settings_.node, settings_.dataCentre, settings_.peerListen})
     , timer_(context)
-{ }
+{
+    sessions_.setRegions(Sessions::RegionMap(settings_.regions));
+    sessions_.setEvacuationGracePeriod(Fleet::evacuationGracePeriod(settings_.evacuationBound));
+}
 
 Node::~Node() = default;
 
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -82,8 +82,9 @@
 
     // Platform and peers.
     void startStoreLinks();
-    void startConfigurationAndDirectoryLinks();
-    [[nodiscard]] std::vector<StoreLink *> configurationAndDirectoryLinks() const;
+    /// Starts the links other than that of the records.
+    void startOtherLinks();
+    [[nodiscard]] std::vector<StoreLink *> otherLinks() const;
     [[nodiscard]] std::unique_ptr<StoreLink>
     makeStoreLink(Fleet::ObjectKind, std::function<void(const StoreUpdate &)> onUpdate);
     void relayToPeers(Fleet::ObjectKind, const StoreUpdate &);
@@ -94,6 +95,7 @@
     void handleConfigurationList(const std::vector<Adapter::StoreObject> &);
     void handleDirectoryList(const std::vector<Adapter::StoreObject> &);
     void handleDirectoryChanges(const std::vector<Adapter::StoreObject> &);
+    void handleEvacuations(const StoreUpdate &);
     [[nodiscard]] std::optional<Sessions::DatabaseEntry>
     readEntry(const Adapter::StoreObject &object);
     void applyDirectory(Core::Instant now);
@@ -138,9 +140,11 @@
     std::unique_ptr<StoreLink> recordsLink_;
     std::unique_ptr<StoreLink> configurationLink_;
     std::unique_ptr<StoreLink> directoryLink_;
+    std::unique_ptr<StoreLink> evacuationsLink_; ///< Null if evacuations are not followed.
     std::unordered_map<Sessions::SessionId, Caller> callers_;
     std::unordered_map<Sessions::ConnectionId, DatabaseConnection> databases_;
     Sessions::DirectoryView directory_;
+    std::set<Core::DataCentreName> evacuated_; ///< The data centres that are being evacuated.
     std::set<std::string> reportedUnreadableEntries_; ///< Names; each is logged once.
     Sessions::SessionId nextSession_ = 1;
     std::uint64_t configurationVersion_ = 0;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -180,12 +180,12 @@
 
 void Node::startStoreLinks()
 {
-    sources_ = std::make_unique<StoreSources>(
-        context_, *store_, settings_.node, settings_.dataCentre, [this] {
-            for (auto *link : configurationAndDirectoryLinks())
-                link->sourceChanged();
-            recordsLink_->sourceChanged();
-        });
+    sources_ = std::make_unique<StoreSources>(context_, *store_, settings_.node,
+                                              settings_.dataCentre, [this] {
+                                                  for (auto *link : otherLinks())
+                                                      link->sourceChanged();
+                                                  recordsLink_->sourceChanged();
+                                              });
     recordsLink_ = makeStoreLink(ObjectKind::Records,
                                  [this](const StoreUpdate &update) { handleRecords(update); });
     if (settings_.firstStart == FirstStart::Yes)
@@ -193,7 +193,7 @@
     recordsLink_->start();
 }
 
-void Node::startConfigurationAndDirectoryLinks()
+void Node::startOtherLinks()
 {
     if (configurationLink_)
         return;
@@ -207,16 +207,23 @@
         else
             handleDirectoryChanges(update.objects);
     });
-    for (auto *link : configurationAndDirectoryLinks())
+    if (settings_.followsEvacuations)
+        evacuationsLink_ =
+            makeStoreLink(ObjectKind::Evacuations,
+                          [this](const StoreUpdate &update) { handleEvacuations(update); });
+    for (auto *link : otherLinks())
         link->start();
     updateFeedRole();
 }
 
-std::vector<StoreLink *> Node::configurationAndDirectoryLinks() const
+std::vector<StoreLink *> Node::otherLinks() const
 {
     if (!configurationLink_)
         return {};
-    return {configurationLink_.get(), directoryLink_.get()};
+    std::vector<StoreLink *> links{configurationLink_.get(), directoryLink_.get()};
+    if (evacuationsLink_)
+        links.push_back(evacuationsLink_.get());
+    return links;
 }
 
 std::unique_ptr<StoreLink> Node::makeStoreLink(ObjectKind kind,
@@ -266,7 +273,7 @@
     // one, so they list again. While the store is unreachable, one link is enough to probe it.
     const auto probing =
         isReachable ? Fleet::StoreWatcher::Probing::Yes : Fleet::StoreWatcher::Probing::No;
-    for (auto *link : configurationAndDirectoryLinks()) {
+    for (auto *link : otherLinks()) {
         link->setProbing(probing);
         link->refresh();
     }
@@ -344,6 +351,26 @@
     applyDirectory(now);
 }
 
+void Node::handleEvacuations(const StoreUpdate &update)
+{
+    std::set<Core::DataCentreName> evacuated;
+    if (!update.isList)
+        evacuated = evacuated_;
+    for (const auto &object : update.objects) {
+        if (object.isDeleted)
+            evacuated.erase(Core::DataCentreName(object.name));
+        else
+            evacuated.insert(Core::DataCentreName(object.name));
+    }
+    if (evacuated == evacuated_)
+        return;
+    evacuated_ = std::move(evacuated);
+    const std::vector<Core::DataCentreName> dataCentres(evacuated_.begin(), evacuated_.end());
+    const Core::Instant now = Core::SteadyClock::now();
+    fleet_.evacuationsChanged(dataCentres, now);
+    sessions_.evacuationsChanged(dataCentres, now);
+}
+
 void Node::applyDirectory(Core::Instant now)
 {
     const auto entries = directory_.entries(now);
@@ -399,7 +426,7 @@
     pump();
     // On the first start of a fleet, the first list lacks most members and therefore the feeds.
     if (!update.isList || settings_.firstStart == FirstStart::No)
-        startConfigurationAndDirectoryLinks();
+        startOtherLinks();
 }
 
 void Node::answerReady(const Http::Request &request, const Http::Responder &responder) const
--- a/Services/SessionProxy/SessionProxySettings.cpp
+++ b/Services/SessionProxy/SessionProxySettings.cpp
@@ -71,6 +71,27 @@
         return static_cast<unsigned>(std::lround(*cores * thousandthsPerCore));
     }
 
+    /// Reads a table of texts; empty if it is missing.
+    [[nodiscard]] ErrorOr<std::map<std::string, std::string>> texts(std::string_view path) const
+    {
+        std::map<std::string, std::string> result;
+        const auto node = table_.at_path(path);
+        if (!node)
+            return result;
+        if (!node.is_table())
+            return failure(ErrorCode::InvalidArgument,
+                           file_ + ": " + std::string(path) + ": expected a table of strings");
+        for (const auto &[key, value] : *node.as_table()) {
+            const auto text = value.value<std::string>();
+            if (!text || text->empty())
+                return failure(ErrorCode::InvalidArgument,
+                               file_ + ": " + std::string(path) + "." + std::string(key.str())
+                                   + ": expected a non-empty string");
+            result.emplace(key.str(), *text);
+        }
+        return result;
+    }
+
 private:
     const toml::table &table_;
     const std::string &file_;
@@ -94,6 +115,12 @@
     settings.stopGrace = Core::Duration(
         TRY(reader.positive("limits.stop_grace_s", settings.stopGrace.milliseconds() / 1'000))
         * 1'000);
+    for (const auto &[dataCentre, region] : TRY(reader.texts("regions")))
+        settings.regions.emplace(Core::DataCentreName(dataCentre), Core::RegionName(region));
+    settings.followsEvacuations =
+        TRY(reader.flag("evacuations.enabled", settings.followsEvacuations));
+    settings.evacuationBound = Core::Duration(
+        TRY(reader.positive("evacuations.bound_ms", settings.evacuationBound.milliseconds())));
     settings.maximumSessions = static_cast<std::size_t>(TRY(
         reader.positive("limits.sessions", static_cast<std::int64_t>(settings.maximumSessions))));
     settings.sampledLinesPerSecond = static_cast<double>(TRY(reader.positive(
--- a/Services/SessionProxy/SessionProxySettings.h
+++ b/Services/SessionProxy/SessionProxySettings.h
@@ -6,6 +6,7 @@
 #include <Observe/Log.h>
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 namespace Chervilpin::SessionProxy {
@@ -30,6 +31,12 @@
     std::string storeAddress;        ///< IP:port of the platform's store.
     std::string promotionAddress;    ///< IP:port of the platform's promotion service.
     Core::Duration stopGrace{6'000}; ///< Time from SIGTERM until the process is killed.
+    /// The region of each data centre; routes and teams may be limited to regions.
+    std::map<Core::DataCentreName, Core::RegionName> regions;
+    /// Whether operators may request that a data centre is evacuated.
+    bool followsEvacuations = true;
+    /// The time after such a request from which nothing may be sent to the databases there.
+    Core::Duration evacuationBound{5'000};
     std::size_t maximumSessions = 3'800;
     Observe::Severity logLevel = Observe::Severity::Info;
     double sampledLinesPerSecond = 20;  ///< Limit for successful requests.
--- a/Tests/Adapter/TestDocuments.cpp
+++ b/Tests/Adapter/TestDocuments.cpp
@@ -91,6 +91,22 @@
     }
 }
 
+TEST(Documents, RegionsAndColdStartsAreDecoded)
+{
+    const auto entry = readDatabaseEntry(
+        "i-1", boost::json::parse(replaced(entryText, "\"coldLeftMs\":0", "\"coldLeftMs\":2500")));
+    LONGS_EQUAL(2'500, entry->coldRemaining.milliseconds());
+    auto text = replaced(documentText, "\"maxConns\":33", "\"maxConns\":33,\"coldPerS\":12.5");
+    text = replaced(text, "\"host\":\"db\"", "\"host\":\"db\",\"allowedRegions\":[\"e\",\"w\"]");
+    text = replaced(text, "\"name\":\"t\"", "\"name\":\"t\",\"allowedRegions\":[\"e\"]");
+    const auto table = readRoutingTable(boost::json::parse(text));
+    DOUBLES_EQUAL(12.5, table->groups.at(Core::GroupName("s")).coldRatePerSecond, 0.001);
+    LONGS_EQUAL(2, table->findRoute("db")->allowedRegions.size());
+    CHECK(table->teams.at(Core::TeamName("t")).allowedRegions.front() == Core::RegionName("e"));
+    CHECK(table->hasRegionLimits());
+    CHECK(!readRoutingTable(boost::json::parse(documentText))->hasRegionLimits());
+}
+
 TEST_GROUP(Store){};
 
 TEST(Store, ListsAndChangesAreDecoded)
--- a/Tests/FleetWire/TestRelayCodec.cpp
+++ b/Tests/FleetWire/TestRelayCodec.cpp
@@ -9,8 +9,8 @@
 
 TEST(RelayCodec, RequestsRoundTrip)
 {
-    for (const auto kind :
-         {ObjectKind::Directory, ObjectKind::Configuration, ObjectKind::Records}) {
+    for (const auto kind : {ObjectKind::Directory, ObjectKind::Configuration, ObjectKind::Records,
+                            ObjectKind::Evacuations}) {
         const RelayQuestion sent{kind, RelayQuestion::Form::Watch, 77, Core::Duration(2'000)};
         const auto read = FleetWire::decodeRelayQuestion(FleetWire::encode(sent));
         CHECK(read.has_value());
