Positions in the store begin with its era, so that a copy brings nothing old back

Cause: a store that comes back from a copy gives revisions out again. FleetView and feeds kept whatever had the higher revision, tokens of orders would have gone down, and a conditional write could succeed on a record that its writer never saw.

Change: platform/Store reads the era of each answer and makes one position of era and revision, era first, so that every comparison, the relays, the heartbeats and the fencing tokens follow it unchanged; the store itself is sent its own revision. A list or watch that another era answers is begun again, an answer of an earlier era is refused, a write that another era answers counts as unknown. Feeds cover nothing of an earlier era. Records name the era of their writer. One that is older than the store's era came with the copy: it is read as being replaced and unverified. A leader that still holds a lease from before writes its primary again at once, since nobody can have been ordered to take over while such a lease is valid (the fence waits for it); leases that others hold go on meanwhile. Otherwise it claims, waits for the leases and 3 s for orders under way, and lets the databases show which one leads. Records without an era, of earlier versions, are trusted as before. Ruled out: a pair as the type of a position (every record, message and test would change for the same order); waiting for all leases in every drill (11 s without writes).

--- a/Libraries/Fleet/ChangeHistory.cpp
+++ b/Libraries/Fleet/ChangeHistory.cpp
@@ -17,6 +17,13 @@
 {
     if (revision < revision_)
         return;
+    // What was written after the copy from which the store came back was never deleted, so other
+    // proxies have to list again.
+    if (eraOf(revision) > eraOf(revision_)) {
+        objects_.clear();
+        deletions_ = 0;
+        historyFrom_ = revision;
+    }
     std::set<std::string_view> listed;
     for (const auto &object : objects)
         listed.insert(object.key);
--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -15,15 +15,37 @@
     , nextReviewAt_(now)
 { }
 
-void FleetEngine::recordsListed(std::span<const StoredObject> records, Core::Instant askedAt,
-                                Core::Instant now)
+void FleetEngine::recordsListed(std::span<const StoredObject> records, Revision listed,
+                                Core::Instant askedAt, Core::Instant now)
 {
-    for (const auto &key : view_.replace(records))
+    if (isListed_ && eraOf(listed) > view_.era()) {
+        for (const auto &[group, primary] : view_.primaries())
+            rememberLease(group);
+        // Plans and orders rest on records that may no longer exist.
+        plans_.clear();
+        orders_.clear();
+        firstRecordWrittenAt_.clear();
+        log("store_era_began",
+            {{"era", std::to_string(eraOf(listed))},
+             {"records", std::to_string(records.size())},
+             {"groups", std::to_string(view_.primaries().size())}});
+    }
+    for (const auto &key : view_.replace(records, listed))
         log("record_unreadable", {{"key", key}});
     isListed_ = true;
     confirm(askedAt, now);
 }
 
+void FleetEngine::rememberLease(const Core::GroupName &group)
+{
+    const auto *primary = view_.findPrimary(group);
+    auto &state = groups_[group];
+    if (!primary || primary->record.phase != PrimaryPhase::Active || !state.isConfirmed)
+        return;
+    state.earlierLeaseUntil = state.confirmedAt + leaseDuration;
+    state.earlierLeaseRevision = primary->revision;
+}
+
 void FleetEngine::recordsChanged(std::span<const StoredObject> changes, Core::Instant askedAt,
                                  Core::Instant now)
 {
@@ -99,6 +121,10 @@
         state.health = Health::Unknown;
     }
     state.publishedRevision = primary->revision;
+    // A lease that was granted before the store came back from a copy stays valid: whoever replaces
+    // its primary waits until it has been given up or has expired.
+    if (isOutdated(primary->record, primary->revision))
+        return;
     PrimaryLease lease;
     lease.group = group;
     lease.revision = primary->revision;
@@ -231,7 +257,11 @@
         record.phase = report.phase;
         record.candidate = report.candidate;
         record.replaces = report.replaces;
+        record.isUnverified = report.isUnverified;
         record.writer = message.node;
+        const auto *known = view_.findPrimary(report.group);
+        if (known && eraOf(known->revision) < eraOf(report.revision))
+            rememberLease(report.group);
         if (report.revision != 0)
             view_.mergePrimary({record, report.revision});
         if (report.health == Health::Suspect)
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -35,9 +35,10 @@
 public:
     FleetEngine(FleetSettings, Core::Instant now);
 
-    /// Applies the complete list of records that the store returned for a request made at \a
-    /// askedAt.
-    void recordsListed(std::span<const StoredObject>, Core::Instant askedAt, Core::Instant now);
+    /// Applies the complete list of records that the store returned, as of the position \a listed,
+    /// for a request made at \a askedAt.
+    void recordsListed(std::span<const StoredObject>, Revision listed, Core::Instant askedAt,
+                       Core::Instant now);
     /// Applies the changes since the last list or change; empty if nothing changed.
     void recordsChanged(std::span<const StoredObject>, Core::Instant askedAt, Core::Instant now);
     void writeEnded(CallId, WriteOutcome, Revision, Core::Instant now);
@@ -73,6 +74,8 @@
     /// The highest configuration version that another proxy has in force.
     [[nodiscard]] std::uint64_t newestConfigurationOfPeers() const;
     [[nodiscard]] bool isLeader() const;
+    /// The newest era of the store of which a record is known, possibly from another proxy.
+    [[nodiscard]] Era newestEra() const { return view_.newestEra(); }
 
 private:
     struct GroupState
@@ -87,6 +90,10 @@
         /// and the time since when this proxy knows that no lease to it is granted any more.
         Revision replaces = 0;
         Core::Instant replacingSince;
+        /// The lease held when the store began a new era, and the record of it. While it is valid,
+        /// no other database can have been ordered to take over.
+        Core::Instant earlierLeaseUntil;
+        Revision earlierLeaseRevision = 0;
         std::optional<Core::Instant> leavingSince; ///< When the primary was first seen draining.
         /// Since when the primary's data centre is being evacuated.
         std::optional<Core::Instant> evacuatingSince;
@@ -119,6 +126,7 @@
         Core::Instant fullReportSentAt;
     };
 
+    void rememberLease(const Core::GroupName &);
     void confirm(Core::Instant askedAt, Core::Instant now);
     void confirmGroup(const Core::GroupName &, Core::Instant confirmedAt, Core::Instant now);
     void publishPrimary(const Core::GroupName &, GroupState &, Core::Instant now);
@@ -144,6 +152,13 @@
     void retireSilentMembers(Core::Instant now);
     void reviewGroup(const Core::GroupName &, GroupState &, Core::Instant now);
     void adoptFirstPrimary(const Core::GroupName &, const GroupState &, Core::Instant now);
+    [[nodiscard]] std::optional<Core::DatabaseName>
+    findPrimaryOfDirectory(const GroupState &) const;
+    /// Returns the primary of the store's earlier era if this proxy still holds a lease to it.
+    [[nodiscard]] std::optional<Core::DatabaseName>
+    findPrimaryOfEarlierEra(const Core::GroupName &, const GroupState &, Core::Instant now) const;
+    /// Writes a record that no plan makes: the first one of a group or of an era.
+    void writeFirstRecord(PrimaryRecord, Revision expected, Core::Instant now);
     [[nodiscard]] std::optional<ReplacementReason> replacementReason(const Core::GroupName &,
                                                                      const GroupState &,
                                                                      const Stored<PrimaryRecord> &,
@@ -212,8 +227,8 @@
     std::map<Core::NodeName, Core::Instant> memberSince_; ///< When the member was first seen.
     std::map<Core::NodeName, Retirement> retirements_;
     std::set<Core::DataCentreName> evacuated_; ///< The data centres being evacuated.
-    /// When the first record of a group was last written; it is retried after heartbeatInterval.
-    std::map<Core::GroupName, Core::Instant> firstPrimaryWrittenAt_;
+    /// When writeFirstRecord() last wrote a group's record; retried after heartbeatInterval.
+    std::map<Core::GroupName, Core::Instant> firstRecordWrittenAt_;
     bool isStoreLost_ = false;
     bool isListed_ = false;  ///< Whether the records were listed at least once.
     bool isDeposed_ = false; ///< Another proxy leads, but the known record doesn't show it yet.
--- a/Libraries/Fleet/FleetEngineHeartbeat.cpp
+++ b/Libraries/Fleet/FleetEngineHeartbeat.cpp
@@ -177,6 +177,7 @@
         report.phase = primary->record.phase;
         report.candidate = primary->record.candidate;
         report.replaces = primary->record.replaces;
+        report.isUnverified = primary->record.isUnverified;
         report.adopted = state.released;
         report.health = state.health;
         report.mark = state.mark;
--- a/Libraries/Fleet/FleetEngineLeadership.cpp
+++ b/Libraries/Fleet/FleetEngineLeadership.cpp
@@ -254,6 +254,15 @@
         adoptFirstPrimary(group, state, now);
         return;
     }
+    if (isOutdated(primary->record, primary->revision)) {
+        if (const auto held = findPrimaryOfEarlierEra(group, state, now)) {
+            PrimaryRecord record;
+            record.group = group;
+            record.database = *held;
+            writeFirstRecord(std::move(record), primary->revision, now);
+            return;
+        }
+    }
     auto plan = plans_.find(group);
     if (plan != plans_.end() && plan->second.isFinished()) {
         plans_.erase(plan);
@@ -282,21 +291,54 @@
 
 void FleetEngine::adoptFirstPrimary(const Core::GroupName &group, const GroupState &state,
                                     Core::Instant now)
+{
+    PrimaryRecord record;
+    record.group = group;
+    const auto *earlier = view_.earlierPrimary(group);
+    if (const auto held = findPrimaryOfEarlierEra(group, state, now)) {
+        record.database = *held;
+    } else if (earlier) {
+        // The copy is older than the group's record.
+        record.database = earlier->record.database;
+        record.phase = PrimaryPhase::Replacing;
+        record.isUnverified = true;
+    } else if (const auto listed = findPrimaryOfDirectory(state)) {
+        record.database = *listed;
+    } else {
+        return;
+    }
+    writeFirstRecord(std::move(record), 0, now);
+}
+
+std::optional<Core::DatabaseName> FleetEngine::findPrimaryOfDirectory(const GroupState &state) const
 {
     const auto isPrimary = [](const auto &entry) {
         return entry.role == Sessions::DatabaseRole::Primary;
     };
     if (std::ranges::count_if(state.databases, isPrimary) != 1)
+        return {};
+    return std::ranges::find_if(state.databases, isPrimary)->id;
+}
+
+std::optional<Core::DatabaseName> FleetEngine::findPrimaryOfEarlierEra(const Core::GroupName &group,
+                                                                       const GroupState &state,
+                                                                       Core::Instant now) const
+{
+    const auto *earlier = view_.earlierPrimary(group);
+    const bool isHeld = earlier && earlier->revision == state.earlierLeaseRevision
+        && now + maximumClockDrift < state.earlierLeaseUntil;
+    return isHeld ? std::optional(earlier->record.database) : std::nullopt;
+}
+
+void FleetEngine::writeFirstRecord(PrimaryRecord record, Revision expected, Core::Instant now)
+{
+    auto &writtenAt = firstRecordWrittenAt_[record.group];
+    if (writtenAt != Core::Instant() && now < writtenAt + heartbeatInterval)
         return;
-    auto &sentAt = firstPrimaryWrittenAt_[group];
-    if (sentAt != Core::Instant() && now < sentAt + heartbeatInterval)
-        return;
-    sentAt = now;
-    PrimaryRecord record;
-    record.group = group;
-    record.database = std::ranges::find_if(state.databases, isPrimary)->id;
+    writtenAt = now;
     record.writer = self_.node;
-    write(nextCall_++, record, 0);
+    record.era = view_.era();
+    write(nextCall_++, std::move(record), expected);
 }
 
 std::optional<ReplacementReason>
@@ -405,7 +447,8 @@
         lastResort = lastResort ? lastResort : &entry;
         if (entry.availability != Sessions::DatabaseAvailability::Ready)
             continue;
-        if (entry.id == plan.oldPrimary())
+        // Of an unverified record it isn't known whether its database still is the primary.
+        if (entry.id == plan.oldPrimary() && !plan.isUnverified())
             inputs.canRestoreOldPrimary = true;
         else
             inputs.candidates.push_back(entry.id);
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -21,6 +21,9 @@
 constexpr Core::Duration retryInterval = 250_ms;
 /// A call that wasn't answered within this is made again.
 constexpr Core::Duration callTimeout = 1'500_ms;
+/// After the store came back from a copy, an order that was sent before has taken effect within
+/// this: the timeout of the call and the time that a database takes.
+constexpr Core::Duration eraSettleDelay = 3'000_ms;
 /// An accepted order without effect within this is sent again.
 constexpr Core::Duration takeOverTimeout = 4'000_ms;
 
@@ -68,7 +71,7 @@
             step_ = Step::Publish;
             return publish(nextCall, now);
         }
-        if (!inputs.isFenced)
+        if (!inputs.isFenced || (isUnverified() && now < claimedAt_ + eraSettleDelay))
             return queryStatuses(inputs, now);
         choosingSince_ = now;
         // An order of an earlier leader may still take effect, so the same order is sent again.
@@ -136,7 +139,8 @@
     if (!candidate)
         return false;
     // A primary that is replaced as planned goes on until its last commits have arrived.
-    if (reason_ != ReplacementReason::Failed && now < choosingSince_ + catchUpTimeout)
+    const bool isCommitsAwaited = reason_ != ReplacementReason::Failed || isUnverified();
+    if (isCommitsAwaited && now < choosingSince_ + catchUpTimeout)
         return statuses_.at(*candidate).received >= inputs.highestMark;
     const bool areAllStatusesKnown =
         std::ranges::all_of(inputs.candidates, [&](const auto &database) {
@@ -187,7 +191,10 @@
         changed.database = candidate_;
         changed.candidate = Core::DatabaseName();
     }
+    if (phase != PrimaryPhase::Replacing)
+        changed.isUnverified = false;
     changed.writer = self_;
+    changed.era = eraOf(revision_);
     changed.attempt = ++attempt_;
     call_ = nextCall++;
     callSentAt_ = now;
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -72,6 +72,9 @@
     [[nodiscard]] Revision claimRevision() const { return claimRevision_; }
     [[nodiscard]] Core::Instant claimedAt() const { return claimedAt_; }
     [[nodiscard]] ReplacementReason reason() const { return reason_; }
+    /// Whether another database may have been ordered to take over without the record showing it,
+    /// since the store came back from a copy. Then the databases themselves show which one leads.
+    [[nodiscard]] bool isUnverified() const { return record_.isUnverified; }
     [[nodiscard]] const Core::DatabaseName &oldPrimary() const { return record_.database; }
     /// When advance() has to be called again if nothing else happens.
     [[nodiscard]] Core::Instant nextStepAt() const { return nextStepAt_; }
--- a/Libraries/Fleet/Records.cpp
+++ b/Libraries/Fleet/Records.cpp
@@ -51,10 +51,15 @@
 
 json::object toJson(const PrimaryRecord &record)
 {
-    return {{"group", record.group.value()},   {"database", record.database.value()},
-            {"phase", toString(record.phase)}, {"candidate", record.candidate.value()},
-            {"replaces", record.replaces},     {"writer", record.writer.value()},
-            {"attempt", record.attempt}};
+    json::object object{{"group", record.group.value()},   {"database", record.database.value()},
+                        {"phase", toString(record.phase)}, {"candidate", record.candidate.value()},
+                        {"replaces", record.replaces},     {"writer", record.writer.value()},
+                        {"attempt", record.attempt}};
+    if (record.era)
+        object["era"] = *record.era;
+    if (record.isUnverified)
+        object["unverified"] = true;
+    return object;
 }
 
 std::string text(const json::object &object, std::string_view name)
@@ -95,6 +100,10 @@
     record.replaces = object.at("replaces").to_number<Revision>();
     record.writer = Core::NodeName(text(object, "writer"));
     record.attempt = object.at("attempt").to_number<std::uint64_t>();
+    if (const auto *era = object.if_contains("era"))
+        record.era = era->to_number<Era>();
+    if (const auto *unverified = object.if_contains("unverified"))
+        record.isUnverified = unverified->as_bool();
     return record;
 }
 
--- a/Libraries/Fleet/Records.h
+++ b/Libraries/Fleet/Records.h
@@ -3,6 +3,7 @@
 #include <Core/Incarnation.h>
 #include <Core/Name.h>
 #include <Core/Result.h>
+#include <Fleet/Revision.h>
 
 #include <cstdint>
 #include <map>
@@ -17,9 +18,6 @@
 /// does not depend on there being only one leader; the leader is only the proxy that acts.
 namespace Chervilpin::Fleet {
 
-/// Increases with each change of any object in the store. 0 means that a record doesn't exist.
-using Revision = std::uint64_t;
-
 /// One proxy. Written by the proxy itself when it starts.
 struct MemberRecord
 {
@@ -63,8 +61,19 @@
     /// The proxy that wrote the record; identifies a write whose answer was lost.
     Core::NodeName writer;
     std::uint64_t attempt = 0; ///< Differs between writes of the same writer.
+    /// The era of the store as its writer knew it; empty in records of earlier versions.
+    std::optional<Era> era;
+    /// Whether the store came back from a copy since the old primary was named, so that another
+    /// database may have been ordered to take over without the record showing it. Not with Active.
+    bool isUnverified = false;
 };
 
+/// Whether the record came back with a copy of the store and no leader has replaced it since.
+[[nodiscard]] inline bool isOutdated(const PrimaryRecord &record, Revision revision)
+{
+    return record.isUnverified && record.replaces == revision;
+}
+
 using Record = std::variant<MemberRecord, LeaderRecord, PrimaryRecord>;
 
 /// The name of a record's object in the store.
--- a/Libraries/Fleet/StoreWatcher.cpp
+++ b/Libraries/Fleet/StoreWatcher.cpp
@@ -69,6 +69,13 @@
     return question;
 }
 
+bool StoreWatcher::isFromOtherEra(Revision storeRevision) const
+{
+    const bool isFirstPage = isListing_ && after_.empty();
+    return isFirstPage ? eraOf(storeRevision) < eraOf(since_)
+                       : eraOf(storeRevision) != eraOf(since_);
+}
+
 StoreWatcher::Position StoreWatcher::listed(std::string lastName, bool hasMore,
                                             Revision storeRevision)
 {
--- a/Libraries/Fleet/StoreWatcher.h
+++ b/Libraries/Fleet/StoreWatcher.h
@@ -47,6 +47,12 @@
     /// state.
     [[nodiscard]] bool isBehind(Revision storeRevision) const { return storeRevision < since_; }
 
+    /// Whether an answer of the store can't be used, since it continues a list or watch of another
+    /// era, or is of an earlier one. The objects then have to be listed again.
+    [[nodiscard]] bool isFromOtherEra(Revision storeRevision) const;
+    /// Whether what was listed is of an era before this one.
+    [[nodiscard]] bool isBefore(Era era) const { return since_ != 0 && eraOf(since_) < era; }
+
     enum class Position {
         Partial, ///< More pages of a list follow.
         Complete,
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -247,8 +247,9 @@
 void Node::writeRecord(const Fleet::WriteRecord &write)
 {
     store_->send(Adapter::makeWrite(write), storeCallTimeout,
-                 [this, id = write.id](const Core::ErrorOr<Http::Response> &response) {
-                     const auto result = Adapter::readWriteResult(response);
+                 [this, id = write.id,
+                  expected = write.expected](const Core::ErrorOr<Http::Response> &response) {
+                     const auto result = Adapter::readWriteResult(response, expected);
                      fleet_.writeEnded(id, result.outcome, result.revision,
                                        Core::SteadyClock::now());
                      pump();
@@ -328,6 +329,17 @@
     rates_.setFleetVisibility(fleet_.isInContact(now) ? Rates::FleetVisibility::Sufficient
                                                       : Rates::FleetVisibility::Insufficient);
     checkConfigurationVersion(now);
+    checkEraOfPeers();
+}
+
+void Node::checkEraOfPeers()
+{
+    // A feed that is cut off from the store may lag behind the other proxies.
+    const Fleet::Era newest = fleet_.newestEra();
+    if (!storeEra_ || newest <= std::max(*storeEra_, eraOfPeers_))
+        return;
+    eraOfPeers_ = newest;
+    recordsLink_->refreshFromStore();
 }
 
 void Node::checkConfigurationVersion(Core::Instant now)
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -87,6 +87,8 @@
     [[nodiscard]] std::vector<StoreLink *> otherLinks() const;
     [[nodiscard]] std::unique_ptr<StoreLink>
     makeStoreLink(Fleet::ObjectKind, std::function<void(const StoreUpdate &)> onUpdate);
+    void storeEraBegan(Fleet::Era);
+    void checkEraOfPeers();
     void relayToPeers(Fleet::ObjectKind, const StoreUpdate &);
     void storeReachabilityChanged(Fleet::ObjectKind, bool isReachable, const std::string &why);
     void recordsReachabilityChanged(bool isReachable);
@@ -148,6 +150,8 @@
     std::set<std::string> reportedUnreadableEntries_; ///< Names; each is logged once.
     Sessions::SessionId nextSession_ = 1;
     std::uint64_t configurationVersion_ = 0;
+    std::optional<Fleet::Era> storeEra_; ///< The newest era that the store answered with.
+    Fleet::Era eraOfPeers_ = 0;          ///< The newest era for which the records were refreshed.
     /// Since when another proxy has reported a newer configuration; empty if none has.
     std::optional<Core::Instant> configurationBehindSince_;
     Core::Instant timerDueAt_;
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -231,6 +231,7 @@
 {
     StoreLink::Handlers handlers;
     handlers.updated = [this, kind, onUpdate = std::move(onUpdate)](const StoreUpdate &update) {
+        storeEraBegan(Fleet::eraOf(update.revision));
         onUpdate(update);
         relayToPeers(kind, update);
         pump();
@@ -241,6 +242,21 @@
     return std::make_unique<StoreLink>(context_, *sources_, metrics_, kind, std::move(handlers));
 }
 
+void Node::storeEraBegan(Fleet::Era era)
+{
+    if (storeEra_ && era <= *storeEra_)
+        return;
+    const bool isFirst = !storeEra_;
+    storeEra_ = era;
+    metrics_.set("chervilpin_store_era", "", static_cast<std::int64_t>(era));
+    if (isFirst)
+        return;
+    Observe::log(Severity::Warning, "store_restored_from_copy", {{"era", std::to_string(era)}});
+    recordsLink_->eraBegan(era);
+    for (auto *link : otherLinks())
+        link->eraBegan(era);
+}
+
 void Node::relayToPeers(ObjectKind kind, const StoreUpdate &update)
 {
     std::vector<Fleet::StoredObject> relayed;
@@ -420,7 +436,7 @@
         records.push_back(Adapter::toStoredObject(object));
     const Core::Instant now = Core::SteadyClock::now();
     if (update.isList)
-        fleet_.recordsListed(records, update.confirmedAt, now);
+        fleet_.recordsListed(records, update.revision, update.confirmedAt, now);
     else
         fleet_.recordsChanged(records, update.confirmedAt, now);
     pump();
--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -52,6 +52,12 @@
     sendRequestTo(Fleet::Source());
 }
 
+void StoreLink::eraBegan(Fleet::Era era)
+{
+    if (watcher_.isBefore(era))
+        refresh();
+}
+
 void StoreLink::sourceChanged()
 {
     if (pendingSource_ && !pendingSource_->isStore() && *pendingSource_ != sources_.current())
@@ -127,6 +133,13 @@
 {
     pendingSource_.reset();
     auto page = Adapter::readPage(response);
+    if (page && watcher_.isFromOtherEra(page->revision)) {
+        Observe::log(Observe::Severity::Warning, "store_era_differs",
+                     {{"objects", std::string(Fleet::toString(kind_))},
+                      {"era", std::to_string(Fleet::eraOf(page->revision))}});
+        restartFromList();
+        return;
+    }
     if (page) {
         updateReachability(true, {});
         handleStorePage(std::move(*page), requestedAt, requested);
@@ -190,7 +203,9 @@
                                                    Core::Instant requestedAt,
                                                    const Fleet::RelayQuestion &requested) const
 {
-    if (watcher_.isBehind(answer.revision))
+    const bool isWatch = requested.form == Fleet::RelayQuestion::Form::Watch;
+    if (watcher_.isBehind(answer.revision)
+        || (isWatch && Fleet::eraOf(answer.revision) != Fleet::eraOf(requested.since)))
         return Core::failure(Core::ErrorCode::Unavailable,
                              "the feed's revision is older than this proxy's: "
                                  + std::to_string(answer.revision));
--- a/Services/SessionProxy/StoreLink.h
+++ b/Services/SessionProxy/StoreLink.h
@@ -50,6 +50,8 @@
     /// Sends the pending request to the current source if it went to a feed that is no longer the
     /// current source.
     void sourceChanged();
+    /// Lists again if what is known is of an earlier era of the store.
+    void eraBegan(Fleet::Era);
     void setProbing(Fleet::StoreWatcher::Probing probing) { watcher_.setProbing(probing); }
 
 private:
--- a/Tests/Adapter/TestDocuments.cpp
+++ b/Tests/Adapter/TestDocuments.cpp
@@ -167,11 +167,50 @@
         {200, "cut o", Fleet::WriteOutcome::Unknown},
     };
     for (const auto &row : cases)
-        CHECK(readWriteResult(response(row.status, row.body)).outcome == row.expected);
-    CHECK(readWriteResult(Core::failure(Core::ErrorCode::Timeout, "x")).outcome
+        CHECK(readWriteResult(response(row.status, row.body), 2).outcome == row.expected);
+    CHECK(readWriteResult(Core::failure(Core::ErrorCode::Timeout, "x"), 2).outcome
           == Fleet::WriteOutcome::Unknown);
 }
 
+TEST(Store, PositionsBeginWithTheEraOfTheStore)
+{
+    const auto inEra = [](const char *era, const char *body) {
+        auto result = response(200, body);
+        result->fields.push_back({"Store-Era", era});
+        return result;
+    };
+    const char *const list =
+        R"({"items":[{"meta":{"name":"a","revision":3},"spec":"text"}],"more":false,"currentRev":9})";
+    const auto page = readPage(inEra("2", list));
+    CHECK(page.has_value());
+    CHECK(page->revision == Fleet::makeRevision(2, 9));
+    CHECK(page->objects.front().revision == Fleet::makeRevision(2, 3));
+    CHECK(!readPage(inEra("two", list)).has_value());
+    CHECK(!readPage(inEra("-1", list)).has_value());
+
+    const auto watch =
+        makeWatch(Fleet::ObjectKind::Records, Fleet::makeRevision(2, 9), Core::Duration(1'000));
+    CHECK(watch.target.find("watch=9&") != std::string::npos);
+    const Fleet::LeaderRecord leader{Core::NodeName("n"), 1, 1};
+    const auto write = makeWrite({1, leader, Fleet::makeRevision(2, 12)});
+    CHECK(write.body.find("\"revision\":12}") != std::string::npos);
+}
+
+/// After the store came back from a copy, a revision that the writer expects may have been given
+/// out again, so that a write succeeds on a record that the writer has not seen.
+TEST(Store, AWriteThatIsAnsweredInAnotherEraIsNotTakenAsDone)
+{
+    const char *const body = R"({"meta":{"name":"a","revision":13}})";
+    auto answer = response(200, body);
+    answer->fields.push_back({"Store-Era", "2"});
+    CHECK(readWriteResult(answer, Fleet::makeRevision(1, 12)).outcome
+          == Fleet::WriteOutcome::Unknown);
+    const auto same = readWriteResult(answer, Fleet::makeRevision(2, 12));
+    CHECK(same.outcome == Fleet::WriteOutcome::Done);
+    CHECK(same.revision == Fleet::makeRevision(2, 13));
+    CHECK(readWriteResult(answer, 0).outcome == Fleet::WriteOutcome::Done);
+}
+
 TEST(Store, RecordsAreCreatedOrReplacedAtTheExpectedRevision)
 {
     const Fleet::LeaderRecord leader{Core::NodeName("n"), 1, 1};
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -37,7 +37,8 @@
     {
         std::unique_ptr<FleetEngine> engine;
         std::optional<PrimaryLease> lease;
-        Revision seen = 0;
+        std::uint64_t seen = 0; ///< The store's revision as of the last list or watch.
+        Era seenEra = 0;
         Core::Instant watchedAt;
         bool holdsOldPrimary = false;
     };
@@ -71,6 +72,7 @@
         const Core::Instant end = now + span;
         while (now < end) {
             now = now + step;
+            applyPromotion();
             for (auto &[name, proxy] : proxies) {
                 if (paused.contains(name))
                     continue;
@@ -79,9 +81,20 @@
                 proxy.engine->advance(now);
                 performActions(name, proxy);
             }
+            checkLeases();
         }
     }
 
+    /// The store is replaced by a copy of what it held some time ago.
+    void restoreFromCopy(Core::Duration age)
+    {
+        while (copies_.size() > 1 && copies_.back().takenAt > now - age)
+            copies_.pop_back();
+        objects_ = copies_.back().objects;
+        revision_ = copies_.back().revision;
+        ++era;
+    }
+
     void report(Health health)
     {
         for (auto &[name, proxy] : proxies) {
@@ -124,27 +137,58 @@
     /// Proxies whose lease to another database was still valid when an order was sent.
     std::vector<std::string> fencingViolations;
     bool areOrdersAnswered = true;
+    /// Steps of time in which a proxy held a lease to a database that wasn't the primary.
+    unsigned staleLeases = 0;
+    Core::Duration takeOverTime; ///< From the answer to an order until it takes effect.
+    Era era = 1;
     std::map<std::string, unsigned> heartbeats; ///< Number sent, by sender.
     unsigned writes = 0;                        ///< Write calls to the store, answered or not.
     Core::DatabaseName primary{"db-1"};         ///< The actual primary, whatever the proxies know.
 
 private:
+    struct Copy
+    {
+        Core::Instant takenAt;
+        std::map<std::string, StoredObject> objects;
+        std::uint64_t revision = 0;
+    };
+
+    struct PendingPromotion
+    {
+        Core::DatabaseName database;
+        Core::Instant at;
+    };
+
+    /// An object as the store shows it, with a position of the present era.
+    [[nodiscard]] StoredObject shown(StoredObject object) const
+    {
+        object.revision = makeRevision(era, object.revision);
+        return object;
+    }
+
     void list(Proxy &proxy)
     {
         std::vector<StoredObject> all;
-        for (const auto &[key, object] : objects_)
-            all.push_back(object);
+        for (const auto &[key, object] : objects_) {
+            if (!object.isDeleted)
+                all.push_back(shown(object));
+        }
         proxy.seen = revision_;
-        proxy.engine->recordsListed(all, now, now);
+        proxy.seenEra = era;
+        proxy.engine->recordsListed(all, makeRevision(era, revision_), now, now);
     }
 
     void watch(Proxy &proxy)
     {
         constexpr Core::Duration quiet{1'000};
+        if (proxy.seenEra != era) {
+            list(proxy);
+            return;
+        }
         std::vector<StoredObject> changes;
         for (const auto &[key, object] : objects_) {
             if (object.revision > proxy.seen)
-                changes.push_back(object);
+                changes.push_back(shown(object));
         }
         if (changes.empty() && now < proxy.watchedAt + quiet)
             return;
@@ -188,22 +232,26 @@
             return;
         }
         auto &object = objects_[keyOf(write.record)];
-        const Revision present = object.isDeleted ? 0 : object.revision;
-        if (present != write.expected) {
+        const std::uint64_t present = object.isDeleted ? 0 : object.revision;
+        if (present != storeRevisionOf(write.expected)) {
             proxy.engine->writeEnded(write.id, WriteOutcome::Conflict, 0, now);
             return;
         }
         object = {keyOf(write.record), encode(write.record), ++revision_, false};
-        proxy.engine->writeEnded(write.id, WriteOutcome::Done, revision_, now);
+        takeCopy();
+        const bool isSameEra = write.expected == 0 || eraOf(write.expected) == era;
+        proxy.engine->writeEnded(write.id, isSameEra ? WriteOutcome::Done : WriteOutcome::Unknown,
+                                 isSameEra ? makeRevision(era, revision_) : 0, now);
     }
 
     void deleteRecord(const std::string &name, const DeleteRecord &record)
     {
         auto &object = objects_[record.key];
-        if (cutFromStore.contains(name) || object.revision != record.expected)
+        if (cutFromStore.contains(name) || object.revision != storeRevisionOf(record.expected))
             return;
         object.isDeleted = true;
         object.revision = ++revision_;
+        takeCopy();
     }
 
     void deliver(const std::string &from, const SendHeartbeat &send)
@@ -229,10 +277,30 @@
             proxy.engine->orderEnded(order.id, OrderOutcome::Unknown, now);
             return;
         }
-        primary = order.database;
+        if (order.database != primary)
+            promotion_ = PendingPromotion{order.database, now + takeOverTime};
+        if (takeOverTime == Core::Duration())
+            applyPromotion();
         proxy.engine->orderEnded(order.id, OrderOutcome::Accepted, now);
     }
 
+    void applyPromotion()
+    {
+        if (!promotion_ || now < promotion_->at)
+            return;
+        primary = promotion_->database;
+        ++term_;
+        promotion_.reset();
+    }
+
+    void checkLeases()
+    {
+        for (const auto &[database, names] : leaseHolders())
+            staleLeases += database == primary.value() ? 0 : 1;
+    }
+
+    void takeCopy() { copies_.push_back({now, objects_, revision_}); }
+
     void answerStatus(Proxy &proxy, const QueryStatus &ask)
     {
         if (silentDatabases.contains(ask.database.value()))
@@ -240,7 +308,9 @@
         Sessions::DatabaseStatus status;
         status.role = ask.database == primary ? Sessions::DatabaseRole::Primary
                                               : Sessions::DatabaseRole::Replica;
-        status.received = {1, ask.database == Core::DatabaseName("db-3") ? 12U : 11U};
+        // Only the primary has commits of its term.
+        status.received = {ask.database == primary ? term_ : 1U,
+                           ask.database == Core::DatabaseName("db-3") ? 12U : 11U};
         proxy.engine->statusAnswered(ask.database, status, now);
     }
 
@@ -252,7 +322,10 @@
     }
 
     std::map<std::string, StoredObject> objects_;
-    Revision revision_ = 0;
+    std::uint64_t revision_ = 0;
+    std::vector<Copy> copies_;
+    std::optional<PendingPromotion> promotion_;
+    std::uint64_t term_ = 1;
 };
 
 } // namespace Chervilpin::Fleet::Testing
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -317,7 +317,7 @@
             engine.writeEnded(member, WriteOutcome::Done, 5, start + 5_ms);
         return count;
     };
-    engine.recordsListed({}, start, start);
+    engine.recordsListed({}, 1, start, start);
     for (Core::Instant now = start + 1_ms; now < start + 2_s; now = now + 100_ms) {
         engine.advance(now);
         LONGS_EQUAL(0, claims());
@@ -445,7 +445,7 @@
     store(primary);
     const Revision revision = records.size();
     Core::Instant now(100'000);
-    engine.recordsListed(records, now, now);
+    engine.recordsListed(records, 1, now, now);
     const std::vector<Sessions::DatabaseEntry> directory{
         FleetFixture::entry("db-1", Sessions::DatabaseRole::Primary)};
     engine.directoryChanged(directory, now);
@@ -554,7 +554,7 @@
         store(primary);
     }
     Core::Instant now(100'000);
-    engine.recordsListed(records, now, now);
+    engine.recordsListed(records, 1, now, now);
     for (const char *group : {"g1", "g2", "g3"})
         engine.primaryReleased(Core::GroupName(group), records.size(), now);
     engine.primaryHealth(Core::GroupName("g2"), Health::Healthy, {1, 1}, now);
--- a/Tests/Fleet/TestRecords.cpp
+++ b/Tests/Fleet/TestRecords.cpp
@@ -67,7 +67,7 @@
     const StoredObject older[] = {stored(primary("a"), 5)};
     (void)view.apply(newer);
     (void)view.apply(older);
-    (void)view.replace(older);
+    (void)view.replace(older, 1);
     STRCMP_EQUAL("b", view.findPrimary(Core::GroupName("g"))->record.database.value().c_str());
     CHECK(!view.mergePrimary({primary("a"), 9}));
     CHECK(view.mergePrimary({primary("a"), 10}));
