Changed records are announced together, and peers that differ get only the newer ones

Cause: at the start the leader wrote the first record of each group and announced each to all members, with all groups that were not adopted yet; each member answered with as many. Proxies whose sums differed sent each other all groups besides, and asked for all for 2 s. Ruled out: growth at rest (442 to 476 bytes a second and member from 30 to 300).

Change: first records are left to the store; records of replacements are announced at most each 0.1 s; groups that were given up, or newly suspected, together are reported in one message; a heartbeat names the newest record that its sender knows, and a peer that differs sends what is above it (all only if both name the same).

--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -150,13 +150,22 @@
     // member's record in the store.
     const auto &leader = view_.leader();
     if (leader)
-        sendToNode(leader->record.node, Reply::NotWanted, now);
-    if (!leader || leader->record.node != primary->record.writer)
-        sendToNode(primary->record.writer, Reply::NotWanted, now);
+        releaseReportsTo_.insert(leader->record.node);
+    releaseReportsTo_.insert(primary->record.writer);
+    nextReviewAt_ = now;
+}
+
+void FleetEngine::reportReleases(Core::Instant now)
+{
+    if (releaseReportsTo_.empty())
+        return;
+    // One message reports all groups that were released together.
+    for (const auto &node : std::exchange(releaseReportsTo_, {}))
+        sendToNode(node, Reply::NotWanted, now);
+    const auto &leader = view_.leader();
     if (leader && !peers_.isHeardWithin(leader->record.node, peerTimeout, now)
         && leader->record.node != self_.node)
         registerSelf(now);
-    nextReviewAt_ = now;
 }
 
 void FleetEngine::primaryHealth(const Core::GroupName &group, Health health, Core::LogMark mark,
@@ -172,7 +181,7 @@
         return;
     log("primary_health",
         {{"group", group.value()}, {"health", health == Health::Suspect ? "suspect" : "healthy"}});
-    sendToContacts(Reply::NotWanted, now);
+    isHealthReportDue_ = true;
     nextReviewAt_ = now;
 }
 
@@ -237,17 +246,23 @@
     if (message.wantsDetails)
         reportState.fullReportsUntil = now + fullReportDuration;
     const bool isDifferent = message.recordsSum != view_.recordsSum()
-        && now >= reportState.fullReportSentAt + recordSyncInterval;
+        && now >= reportState.differenceReportedAt + recordSyncInterval;
     if (isDifferent)
-        reportState.fullReportSentAt = now;
+        reportState.differenceReportedAt = now;
     const auto *member = view_.findMember(message.node);
     if (member && (message.wantsReply || message.wantsDetails || isDifferent))
         sendTo(member->record, Reply::NotWanted, now,
-               isDifferent ? Detail::All : Detail::InProgress);
+               isDifferent ? detailFor(message) : Detail::InProgress);
     if (!plans_.empty())
         nextReviewAt_ = now;
 }
 
+FleetEngine::Detail FleetEngine::detailFor(const Heartbeat &message) const
+{
+    // With the same newest record, it isn't known which record either side lacks.
+    return message.newestRecord == view_.newestPrimary() ? Detail::All : Detail::Newer;
+}
+
 void FleetEngine::mergeReports(const Heartbeat &message, Core::Instant now)
 {
     for (const auto &report : message.primaries) {
@@ -311,10 +326,14 @@
     publishMembers(now);
     log("record_written",
         {{"key", keyOf(written.mapped())}, {"revision", std::to_string(revision)}});
-    if (!std::holds_alternative<PrimaryRecord>(written.mapped()))
+    const auto *primary = std::get_if<PrimaryRecord>(&written.mapped());
+    if (!primary)
         return;
     publishChangedPrimaries(now);
-    sendToAll(Reply::Wanted, now);
+    // First records are written for all groups at once, and the store reaches everybody soon
+    // enough.
+    if (plans_.contains(primary->group))
+        scheduleAnnouncement(now);
 }
 
 void FleetEngine::write(CallId call, Record record, Revision expected)
@@ -352,13 +371,18 @@
 
 Core::Instant FleetEngine::nextDeadline() const
 {
-    return std::min(nextHeartbeatAt_, nextReviewAt_);
+    return std::min({nextHeartbeatAt_, nextReviewAt_, announceAt_});
 }
 
 void FleetEngine::advance(Core::Instant now)
 {
     if (now >= nextHeartbeatAt_)
         sendHeartbeats(now);
+    if (now >= announceAt_)
+        announce(now);
+    reportReleases(now);
+    if (std::exchange(isHealthReportDue_, false))
+        sendToContacts(Reply::NotWanted, now);
     if (now < nextReviewAt_)
         return;
     nextReviewAt_ = now + reviewInterval;
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -107,6 +107,7 @@
 
     enum class Detail {
         InProgress, ///< Only the groups that Heartbeat::primaries always reports.
+        Newer,      ///< Also the records above the receiver's newest one.
         All,        ///< All groups; the receiver is asked to report all as well.
     };
 
@@ -122,8 +123,8 @@
     struct ReportState
     {
         Core::Instant fullReportsUntil; ///< It asked for reports of all groups until then.
-        /// When all groups were last reported to it because its records differed.
-        Core::Instant fullReportSentAt;
+        /// When records were last reported to it because its own differed.
+        Core::Instant differenceReportedAt;
     };
 
     void rememberLease(const Core::GroupName &);
@@ -179,11 +180,16 @@
     void requestConfirmations(Core::Instant now);
     void sendTo(const MemberRecord &, Reply, Core::Instant now, Detail = Detail::InProgress);
     void sendToAll(Reply, Core::Instant now);
+    /// Announces the changed primary records to all members soon.
+    void scheduleAnnouncement(Core::Instant now);
+    void announce(Core::Instant now);
+    void reportReleases(Core::Instant now);
     void sendToContacts(Reply, Core::Instant now);
     void sendToNode(const Core::NodeName &, Reply, Core::Instant now);
     [[nodiscard]] Heartbeat makeHeartbeat(const MemberRecord &, Reply, Detail,
                                           Core::Instant now) const;
-    [[nodiscard]] bool isReported(const PrimaryRecord &, const GroupState &, Revision) const;
+    [[nodiscard]] static bool isReported(const Stored<PrimaryRecord> &, const GroupState &);
+    [[nodiscard]] Detail detailFor(const Heartbeat &) const;
     void publishMembers(Core::Instant now);
     void removeNonMembers(Core::Instant now);
     void publishLeader(Core::Instant now);
@@ -224,6 +230,11 @@
     Core::Instant leadingSince_;
     Core::Instant nextHeartbeatAt_;
     Core::Instant nextReviewAt_;
+    Core::Instant announceAt_ = Core::Instant::never();
+    Core::Instant announcedAt_;
+    bool isHealthReportDue_ = false; ///< A suspicion changed since the last report to contacts.
+    /// The proxies that wait for this one to give up an old primary.
+    std::set<Core::NodeName> releaseReportsTo_;
     std::map<Core::NodeName, Core::Instant> memberSince_; ///< When the member was first seen.
     std::map<Core::NodeName, Retirement> retirements_;
     std::set<Core::DataCentreName> evacuated_; ///< The data centres being evacuated.
--- a/Libraries/Fleet/FleetEngineHeartbeat.cpp
+++ b/Libraries/Fleet/FleetEngineHeartbeat.cpp
@@ -111,6 +111,22 @@
         sendToNode(node, reply, now);
 }
 
+void FleetEngine::scheduleAnnouncement(Core::Instant now)
+{
+    announceAt_ = std::min(announceAt_, std::max(now, announcedAt_ + announcementInterval));
+}
+
+void FleetEngine::announce(Core::Instant now)
+{
+    announceAt_ = Core::Instant::never();
+    announcedAt_ = now;
+    const bool isAnyReplaced = std::ranges::any_of(view_.primaries(), [](const auto &entry) {
+        return entry.second.record.phase != PrimaryPhase::Active;
+    });
+    // Replies tell who has given up an old primary.
+    sendToAll(isAnyReplaced ? Reply::Wanted : Reply::NotWanted, now);
+}
+
 void FleetEngine::sendToContacts(Reply reply, Core::Instant now)
 {
     for (const auto &node : contacts_)
@@ -129,10 +145,9 @@
     actions_.emplace_back(SendHeartbeat{member.address, makeHeartbeat(member, reply, detail, now)});
 }
 
-bool FleetEngine::isReported(const PrimaryRecord &record, const GroupState &state,
-                             Revision revision) const
+bool FleetEngine::isReported(const Stored<PrimaryRecord> &primary, const GroupState &state)
 {
-    return record.phase != PrimaryPhase::Active || state.released < revision
+    return primary.record.phase != PrimaryPhase::Active || state.released < primary.revision
         || state.health == Health::Suspect;
 }
 
@@ -147,10 +162,13 @@
     message.wantsDetails = detail == Detail::All;
     message.configurationVersion = configurationVersion_;
     message.recordsSum = view_.recordsSum();
+    message.newestRecord = view_.newestPrimary();
+    Revision newestOfReceiver = 0;
     if (const auto *peer = peers_.find(receiver.node)) {
         message.echoIncarnation = peer->lastHeartbeat.incarnation;
         message.echoSentAt = peer->lastHeartbeat.sentAt;
         message.echoHeld = now - peer->heardAt;
+        newestOfReceiver = peer->lastHeartbeat.newestRecord;
     }
     if (storeConfirmedAt_ != Core::Instant()) {
         message.confirmedAge = now - storeConfirmedAt_;
@@ -167,8 +185,8 @@
         if (!primary)
             continue;
         const bool isForLeader = isToLeader && state.health != Health::Unknown;
-        if (!areAllReported && !isForLeader
-            && !isReported(primary->record, state, primary->revision))
+        const bool isNewer = detail == Detail::Newer && primary->revision > newestOfReceiver;
+        if (!areAllReported && !isForLeader && !isNewer && !isReported(*primary, state))
             continue;
         PrimaryReport report;
         report.group = group;
--- a/Libraries/Fleet/FleetView.cpp
+++ b/Libraries/Fleet/FleetView.cpp
@@ -91,6 +91,7 @@
     if (known)
         recordsSum_ -= Core::hashOf(primary.record.group.view(), known->revision);
     recordsSum_ += Core::hashOf(primary.record.group.view(), primary.revision);
+    newestPrimary_ = std::max(newestPrimary_, primary.revision);
     primaries_[primary.record.group] = primary;
     return true;
 }
--- a/Libraries/Fleet/FleetView.h
+++ b/Libraries/Fleet/FleetView.h
@@ -51,6 +51,8 @@
     [[nodiscard]] Era newestEra() const { return newestEra_; }
     /// Sum of hashes of the revisions of all primary records; equal if the records are the same.
     [[nodiscard]] std::uint64_t recordsSum() const { return recordsSum_; }
+    /// The highest revision of a primary record.
+    [[nodiscard]] Revision newestPrimary() const { return newestPrimary_; }
     /// Increases with each change of the members or the leader.
     [[nodiscard]] std::uint64_t membersVersion() const { return membersVersion_; }
     /// Whether this incarnation of the node is a member that may hold leases.
@@ -69,6 +71,7 @@
     Era newestEra_ = 0;
     std::optional<Stored<LeaderRecord>> leader_;
     std::uint64_t recordsSum_ = 0;
+    Revision newestPrimary_ = 0;
     std::uint64_t membersVersion_ = 0;
 };
 
--- a/Libraries/Fleet/Heartbeat.h
+++ b/Libraries/Fleet/Heartbeat.h
@@ -51,9 +51,12 @@
     /// Sum of hashes of the revisions of all primary records that the sender knows. Equal sums mean
     /// that sender and receiver know the same records.
     std::uint64_t recordsSum = 0;
-    /// All groups if details were requested, or if the receiver's records differ. Otherwise the
-    /// groups whose primary is being replaced, not adopted yet or suspected, and, to the leader,
-    /// those whose health is known.
+    /// The highest revision of a primary record that the sender knows. A receiver whose records
+    /// differ sends the newer ones.
+    Revision newestRecord = 0;
+    /// All groups if details were requested. Otherwise those whose records the receiver may lack,
+    /// the groups whose primary is being replaced, not adopted yet or suspected, and, to the
+    /// leader, those whose health is known.
     std::vector<PrimaryReport> primaries;
     std::uint64_t configurationVersion = 0;
     bool wantsReply = false;
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -19,8 +19,11 @@
 constexpr Core::Duration peerConfirmationDelay{4'500};
 /// Number of members that are asked for a confirmation with each round of heartbeats.
 constexpr std::size_t confirmationPeerCount = 3;
-/// Minimum interval between full reports to a proxy that knows different records.
+/// Minimum interval between reports of records to a proxy that knows different ones.
 constexpr Core::Duration recordSyncInterval{250};
+/// Minimum interval between announcements of changed primary records to all members. Many records
+/// change together when a data centre is lost or evacuated.
+constexpr Core::Duration announcementInterval{100};
 /// A proxy that was asked for details reports all groups for this long: in its next two heartbeats.
 constexpr Core::Duration fullReportDuration{2'000};
 /// A majority counts as heard for this long after a review last found it: two review intervals.
--- a/Libraries/FleetWire/PeerMessageCodec.cpp
+++ b/Libraries/FleetWire/PeerMessageCodec.cpp
@@ -94,6 +94,7 @@
     heartbeat.recordsSum = message.records_sum();
     heartbeat.wantsReply = message.wants_reply();
     heartbeat.wantsDetails = message.wants_details();
+    heartbeat.newestRecord = message.newest_record();
     for (const auto &primary : message.primaries())
         heartbeat.primaries.push_back(read(primary));
     return heartbeat;
@@ -150,6 +151,7 @@
     message.set_configuration_version(heartbeat.configurationVersion);
     message.set_wants_reply(heartbeat.wantsReply);
     message.set_wants_details(heartbeat.wantsDetails);
+    message.set_newest_record(heartbeat.newestRecord);
     message.set_records_sum(heartbeat.recordsSum);
     for (const auto &report : heartbeat.primaries)
         write(report, *message.add_primaries());
--- a/Tests/Fleet/Depends.cmake
+++ b/Tests/Fleet/Depends.cmake
@@ -1,1 +1,1 @@
-set(testDepends Sessions)
+set(testDepends Sessions FleetWire)
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -3,6 +3,7 @@
 #include <Fleet/FleetEngine.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -142,8 +143,9 @@
     Core::Duration takeOverTime; ///< From the answer to an order until it takes effect.
     Era era = 1;
     std::map<std::string, unsigned> heartbeats; ///< Number sent, by sender.
-    unsigned writes = 0;                        ///< Write calls to the store, answered or not.
-    Core::DatabaseName primary{"db-1"};         ///< The actual primary, whatever the proxies know.
+    std::function<void(const std::string &from, const SendHeartbeat &)> onHeartbeat;
+    unsigned writes = 0;                ///< Write calls to the store, answered or not.
+    Core::DatabaseName primary{"db-1"}; ///< The actual primary, whatever the proxies know.
 
 private:
     struct Copy
@@ -257,6 +259,8 @@
     void deliver(const std::string &from, const SendHeartbeat &send)
     {
         ++heartbeats[from];
+        if (onHeartbeat)
+            onHeartbeat(from, send);
         const auto to = proxies.find(send.address);
         if (to == proxies.end() || cutFromPeers.contains(from)
             || cutFromPeers.contains(send.address) || paused.contains(send.address))
