--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -3,6 +3,7 @@
 #include <Core/SteadyClock.h>
 #include <Fleet/RelayTiming.h>
 #include <FleetWire/RelayCodec.h>
+#include <Observe/Log.h>
 #include <Services/SessionProxy/RelayServer.h>
 
 #include <algorithm>
