What no database can serve is refused before its team's rate is asked

Cause: an operation took a token of its team and was refused only in the queue, when its group had no usable primary. Ruled out: too few slots (the primaries there had three slots each for a third of the callers).

Change: the check of the queue is made at the first statement of an operation, before admission, with a log line of its own. BEGIN of a read-only transaction no longer counts as in need of the primary. A statement let through as a probe still counts when it is dispatched. Answers load in which groups without a primary take part of a team's rate.

--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -113,6 +113,7 @@
 private:
     // Statements of callers.
     void start(Session &, Statement, Core::Instant now);
+    void refuseUnservable(Session &, const Statement &, std::string_view reason, Core::Instant now);
     void startNext(Session &, Core::Instant now);
     void answerLocally(Session &, const Statement &, Core::Instant now);
     void begin(Session &, const Statement &, Core::Instant now);
@@ -125,14 +126,19 @@
     void runPinned(Session &, Statement, Core::Instant now);
 
     // Placement and sending.
+    /// Whether a statement that is let through to an unreachable primary counts as its next probe.
+    enum class Probing {
+        Check,
+        Take,
+    };
     void dispatch(Group &, Core::Instant now);
     /// Returns why no database can serve the statement in time, if so: none is in its regions, or
     /// the primary has been unusable for at least primaryOutageThreshold and no replica may serve
     /// it.
-    [[nodiscard]] std::optional<std::string_view> unservableReason(const Session &, Group &,
-                                                                   Core::Instant now);
+    [[nodiscard]] std::optional<std::string_view>
+    unservableReason(const Session &, const Statement &, Group &, Probing, Core::Instant now);
     [[nodiscard]] bool place(Session &, Group &, Core::Instant now);
-    [[nodiscard]] Placement::Requirement needOf(const Session &, const Group &,
+    [[nodiscard]] Placement::Requirement needOf(const Session &, const Statement &, const Group &,
                                                 Core::Instant now) const;
     [[nodiscard]] std::vector<Placement::Candidate>
     candidates(const Session &, const Group &, const Placement::Requirement &, Core::Instant now);
@@ -158,7 +164,8 @@
     [[nodiscard]] bool isRestricted(const Session &, const Database &, bool isPrimary,
                                     Core::Instant now) const;
     /// Whether no database that could run the statement is in an allowed region.
-    [[nodiscard]] bool isOutsideAllowedRegions(const Session &, const Group &, Core::Instant now);
+    [[nodiscard]] bool isOutsideAllowedRegions(const Session &, const Placement::Requirement &,
+                                               const Group &);
     void reviewEvacuations(Core::Instant now);
     /// Statements per second that its pooler may send to a cold database; 0 if it isn't cold.
     [[nodiscard]] double coldRateOf(const Database &, Core::Instant now) const;
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -98,6 +98,12 @@
         }
         if (!resolveRoute(session, now))
             return;
+        // What no database can serve must not use up the rate of its team.
+        if (const auto reason =
+                unservableReason(session, statement, groupOf(session), Probing::Check, now)) {
+            refuseUnservable(session, statement, *reason, now);
+            return;
+        }
         if (!session.team.isEmpty()) {
             session.awaitingAdmission = std::move(statement);
             actions_.emplace_back(RequestAdmission{session.id, session.team});
@@ -197,6 +203,24 @@
     operationEnded(*session, now);
 }
 
+void SessionEngine::refuseUnservable(Session &session, const Statement &statement,
+                                     std::string_view reason, Core::Instant now)
+{
+    const Group &group = groupOf(session);
+    log(Importance::Always, "refused_unservable",
+        {{"id", statement.id},
+         {"session", std::to_string(session.id)},
+         {"team", session.team.value()},
+         {"route", session.route->name.value()},
+         {"group", group.name.value()},
+         {"primary", group.primary.value()},
+         {"revision", std::to_string(group.revision)},
+         {"configuration", std::to_string(table_->version)},
+         {"text", std::string(reason)}});
+    answer(session, {{}, Failure::Busy, std::string(reason)}, now);
+    operationEnded(session, now);
+}
+
 void SessionEngine::begin(Session &session, const Statement &statement, Core::Instant now)
 {
     if (session.transaction != TransactionStage::None) {
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -20,19 +20,18 @@
 constexpr std::string_view primaryUnreachableMessage =
     "the primary doesn't answer this proxy; try again in 1000 ms";
 
-/// Whether the operation can only run on the primary.
-bool isPrimaryOnly(const Session &session)
+/// Whether the operation that the statement belongs to can only run on the primary.
+bool isPrimaryOnly(const Session &session, const Statement &statement)
 {
     if (session.route->consistency == Consistency::Latest)
         return true;
     if (session.transaction != TransactionStage::None)
         return session.beginKind == StatementKind::Begin;
-    const Statement &statement = session.running->statement;
     if (statement.kind == StatementKind::Execute) {
         const PreparedShape *shape = session.state.findPrepared(statement.name);
         return !shape || shape->access == Access::Write;
     }
-    return statement.kind != StatementKind::Read;
+    return statement.kind != StatementKind::Read && statement.kind != StatementKind::BeginRead;
 }
 
 } // namespace
@@ -45,7 +44,8 @@
         Session *session = findSession(id);
         if (!session || !session->running)
             return true;
-        if (const auto reason = unservableReason(*session, group, now)) {
+        if (const auto reason = unservableReason(*session, session->running->statement, group,
+                                                 Probing::Take, now)) {
             unservable.emplace_back(id, *reason);
             return true;
         }
@@ -60,9 +60,12 @@
 }
 
 std::optional<std::string_view> SessionEngine::unservableReason(const Session &session,
-                                                                Group &group, Core::Instant now)
+                                                                const Statement &statement,
+                                                                Group &group, Probing probing,
+                                                                Core::Instant now)
 {
-    if (isAnyRegionLimited_ && isOutsideAllowedRegions(session, group, now))
+    if (isAnyRegionLimited_
+        && isOutsideAllowedRegions(session, needOf(session, statement, group, now), group))
         return outsideRegionsMessage;
     const Database *primary = findDatabase(group.primary);
     const bool isUnreachable = primary && primary->isUnreachable(now);
@@ -77,7 +80,7 @@
         group.outageSince = now;
     if (session.forwarded || now < group.outageSince + primaryOutageThreshold)
         return {};
-    if (!isPrimaryOnly(session) && needOf(session, group, now).mark)
+    if (needOf(session, statement, group, now).mark)
         return {};
     if (isEvacuated)
         return primaryEvacuatedMessage;
@@ -85,17 +88,18 @@
         return primaryBeingReplacedMessage;
     if (now >= group.nextProbeAt) {
         // Only a statement can show that the primary is reachable again.
-        group.nextProbeAt = now + unreachableProbeInterval;
+        if (probing == Probing::Take)
+            group.nextProbeAt = now + unreachableProbeInterval;
         return {};
     }
     return primaryUnreachableMessage;
 }
 
-Placement::Requirement SessionEngine::needOf(const Session &session, const Group &group,
-                                             Core::Instant now) const
+Placement::Requirement SessionEngine::needOf(const Session &session, const Statement &statement,
+                                             const Group &group, Core::Instant now) const
 {
     Placement::Requirement need;
-    need.isPrimaryOnly = isPrimaryOnly(session);
+    need.isPrimaryOnly = isPrimaryOnly(session, statement);
     if (need.isPrimaryOnly)
         return need;
     need.mark = group.freshness.requiredFor(session.route->maximumAge - ageMargin, now);
@@ -170,7 +174,7 @@
 {
     if (session.forwarded)
         return placeForwarded(session, now);
-    const auto need = needOf(session, group, now);
+    const auto need = needOf(session, session.running->statement, group, now);
     const auto options = candidates(session, group, need, now);
     const auto chosen = Placement::choose(need, options);
     if (!chosen)
--- a/Libraries/Sessions/SessionEngineRestrictions.cpp
+++ b/Libraries/Sessions/SessionEngineRestrictions.cpp
@@ -70,10 +70,9 @@
     return isEvacuated || !isInAllowedRegion(session, database.entry.dataCentre);
 }
 
-bool SessionEngine::isOutsideAllowedRegions(const Session &session, const Group &group,
-                                            Core::Instant now)
+bool SessionEngine::isOutsideAllowedRegions(const Session &session,
+                                            const Placement::Requirement &need, const Group &group)
 {
-    const auto need = needOf(session, group, now);
     if (need.isPrimaryOnly || !need.mark) {
         const Database *primary = findDatabase(group.primary);
         return primary && !isInAllowedRegion(session, primary->entry.dataCentre);
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -538,6 +538,28 @@
 
 /// Statements for an unreachable primary must not all wait for their timeout, nor be refused after
 /// it is reachable again. Only a statement can show that, so one is let through every 200 ms.
+/// While a data centre is cut off, the callers of groups without a primary would otherwise use up
+/// what their teams may do at the groups that can be served.
+TEST(SessionEngine, AnOperationThatNoDatabaseCanServeAsksForNoAdmission)
+{
+    fixture.grantLease(2, fixture.primary, false);
+    fixture.send(fixture.open("latest"), StatementKind::Read, "1");
+    fixture.advance(primaryOutageThreshold);
+    (void)fixture.takeActions();
+    for (const auto kind : {StatementKind::Write, StatementKind::Begin}) {
+        fixture.send(fixture.open("own"), kind, "1 x");
+        const auto actions = fixture.takeActions();
+        LONGS_EQUAL(0, EngineFixture::actionsOf<RequestAdmission>(actions).size());
+        const auto answers = EngineFixture::actionsOf<AnswerSession>(actions);
+        LONGS_EQUAL(1, answers.size());
+        CHECK(answers.front().failure == Failure::Busy);
+        CHECK(answers.front().state == TransactionState::None);
+    }
+    fixture.grantLease(3, fixture.replica, true);
+    fixture.send(fixture.open("own"), StatementKind::Write, "1 x");
+    LONGS_EQUAL(1, EngineFixture::actionsOf<RequestAdmission>(fixture.takeActions()).size());
+}
+
 TEST(SessionEngine, AnUnreachablePrimaryIsProbedAndUsedAgain)
 {
     fixture.opensConnections = false;
