Followers leave their feed time to deliver a newer configuration

Cause: each proxy whose peers had a newer configuration for 1 s asked the store, and again each 0.5 s.

Change: a follower waits 2 s, in which the feed hears of the version from the leader; everybody asks at most each 2 s.

--- a/Libraries/Fleet/RelayTiming.h
+++ b/Libraries/Fleet/RelayTiming.h
@@ -81,7 +81,7 @@
 /// within 0.3 s, and the platform promises 10 s or more before the first callers.
 constexpr Core::Duration firstStartDelay{1'000};
 /// A newer configuration that other proxies have is read from the store if the feed didn't deliver
-/// it within this; a third of the users' strictest bound for a configuration.
-constexpr Core::Duration configurationTimeout{1'000};
+/// it within this. The feed hears of it within two heartbeats of the leader.
+constexpr Core::Duration configurationTimeout{2'000};
 
 } // namespace Chervilpin::Fleet
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -344,19 +344,14 @@
 
 void Node::checkConfigurationVersion(Core::Instant now)
 {
-    if (!configurationLink_ || fleet_.newestConfigurationOfPeers() <= configurationVersion_) {
-        configurationBehindSince_.reset();
+    using Source = Fleet::ConfigurationCatchUp::Source;
+    const std::uint64_t newest = fleet_.newestConfigurationOfPeers();
+    const Source source = sources_->current().isStore() ? Source::Store : Source::Feed;
+    if (!configurationLink_ || !catchUp_.isDue(configurationVersion_, newest, source, now))
         return;
-    }
-    // A working feed delivers a change at once, so the store is asked only after a timeout.
-    if (!configurationBehindSince_)
-        configurationBehindSince_ = now;
-    const bool isFollowingFeed = !sources_->current().isStore();
-    if (isFollowingFeed && now < *configurationBehindSince_ + Fleet::configurationTimeout)
-        return;
-    Observe::log(Severity::Info, "configuration_behind",
-                 {{"version", std::to_string(configurationVersion_)},
-                  {"of_peers", std::to_string(fleet_.newestConfigurationOfPeers())}});
+    Observe::log(
+        Severity::Info, "configuration_behind",
+        {{"version", std::to_string(configurationVersion_)}, {"of_peers", std::to_string(newest)}});
     configurationLink_->refreshFromStore();
 }
 
--- a/Services/SessionProxy/Node.h
+++ b/Services/SessionProxy/Node.h
@@ -3,6 +3,7 @@
 #include <Core/Milliseconds.h>
 #include <Core/Pace.h>
 #include <Core/Result.h>
+#include <Fleet/ConfigurationCatchUp.h>
 #include <Fleet/FleetEngine.h>
 #include <Fleet/RelayResponder.h>
 #include <Http/Client.h>
@@ -152,8 +153,7 @@
     std::uint64_t configurationVersion_ = 0;
     std::optional<Fleet::Era> storeEra_; ///< The newest era that the store answered with.
     Fleet::Era eraOfPeers_ = 0;          ///< The newest era for which the records were refreshed.
-    /// Since when another proxy has reported a newer configuration; empty if none has.
-    std::optional<Core::Instant> configurationBehindSince_;
+    Fleet::ConfigurationCatchUp catchUp_;
     Core::Instant timerDueAt_;
     Core::Instant nextEngineSyncAt_;
     Core::Pace sampledLinePace_; ///< Limits log lines of successful requests.
