--- a/Libraries/Rates/RateLimiter.cpp
+++ b/Libraries/Rates/RateLimiter.cpp
@@ -76,7 +76,8 @@
     }
     for (auto &[team, state] : teams_) {
         if (!limits.contains(team))
-            refuse(state, state.waiting.size(), removedTeamRetryDelay, "the team is gone");
+            refuse(state, state.waiting.size(), removedTeamRetryDelay, "the team is gone",
+                   Role::Owner);
     }
     const auto isGone = [&](const auto &entry) {
         return !limits.contains(entry.first);
@@ -322,7 +323,7 @@
         request.needed > grant.operations ? request.needed - grant.operations : 0;
     const std::size_t served = grantWaiting(state, now);
     const std::size_t unserved = request.needed > served ? request.needed - served : 0;
-    refuse(state, std::min(lacking, unserved), grant.retryAfter, grant.from.value());
+    refuse(state, std::min(lacking, unserved), grant.retryAfter, grant.from.value(), request.role);
     grantOrRequest(grant.team, state, now);
 }
 
@@ -339,7 +340,7 @@
 }
 
 void RateLimiter::refuse(TeamState &state, std::size_t count, Core::Duration retryAfter,
-                         const std::string &decidedBy)
+                         const std::string &decidedBy, Role role)
 {
     // The retry delays of callers that are refused together are staggered at the team's rate.
     constexpr double millisecondsPerSecond = 1'000.0;
@@ -348,7 +349,7 @@
         rate > 0 ? static_cast<std::int64_t>(std::ceil(millisecondsPerSecond / rate)) : 0);
     Core::Duration wait = retryAfter;
     for (std::size_t i = 0; i < count && !state.waiting.empty(); ++i) {
-        decisions_.push_back({state.waiting.front(), false, wait, rate, decidedBy});
+        decisions_.push_back({state.waiting.front(), false, wait, rate, decidedBy, role});
         state.waiting.pop_front();
         wait = wait + gap;
     }
--- a/Libraries/Rates/RateLimiter.h
+++ b/Libraries/Rates/RateLimiter.h
@@ -28,6 +28,7 @@
     Core::Duration retryAfter;
     double ratePerSecond = 0; ///< The rate limit of the team.
     std::string decidedBy;    ///< The node that decided, or the reason why none was asked.
+    Role role = Role::Owner;  ///< The role in which it decided.
 };
 
 struct AddressedRequest
@@ -151,7 +152,7 @@
     void backOff(const Core::TeamName &, const OutstandingRequest &, Core::Duration,
                  const char *what, Core::Instant now);
     void refuse(TeamState &, std::size_t count, Core::Duration retryAfter,
-                const std::string &decidedBy);
+                const std::string &decidedBy, Role);
 
     Member self_;
     OwnerTable owners_;
--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -41,11 +41,18 @@
 };
 
 /// Why an operation was not admitted.
+/// The role in which a proxy decided on a team's rate.
+enum class RateDecider {
+    Owner,    ///< The proxy that keeps the team's token bucket.
+    Fallback, ///< Another proxy, as the owner did not answer.
+};
+
 struct RateRefusal
 {
     Core::Duration retryAfter;
     double ratePerSecond = 0; ///< Rate limit of the team over the whole fleet.
-    std::string decidedBy; ///< The proxy that owns the team's token bucket, or why none was asked.
+    std::string decidedBy;    ///< The proxy that decided, or why none was asked.
+    RateDecider decider = RateDecider::Owner;
 };
 
 /// The complete answer to a caller's statement.
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -301,7 +301,10 @@
             sessions_.admitted(decision.ticket, now);
         else
             sessions_.refused(decision.ticket,
-                              {decision.retryAfter, decision.ratePerSecond, decision.decidedBy},
+                              {decision.retryAfter, decision.ratePerSecond, decision.decidedBy,
+                               decision.role == Rates::Role::Owner
+                                   ? Sessions::RateDecider::Owner
+                                   : Sessions::RateDecider::Fallback},
                               now);
     }
     for (const auto &event : rates_.takeEvents())
