--- a/Libraries/Sessions/RoutingTable.h
+++ b/Libraries/Sessions/RoutingTable.h
@@ -34,7 +34,7 @@
     std::uint32_t priority = 0; ///< 0 is the highest.
     bool isOpenToAll = false;   ///< Whether callers may connect without a key.
     /// The regions in which the route may be served; empty if it may be served anywhere.
-    std::vector<Core::RegionName> allowedRegions;
+    std::vector<Core::RegionName> permittedRegions;
 };
 
 struct TeamLimits
@@ -42,7 +42,7 @@
     double ratePerSecond = 0; ///< Operations of the whole fleet; 0 is unlimited.
     double burst = 0;
     /// The regions in which the team may be served; empty if it may be served anywhere.
-    std::vector<Core::RegionName> allowedRegions;
+    std::vector<Core::RegionName> permittedRegions;
 };
 
 struct GroupLimits
@@ -70,9 +70,10 @@
     [[nodiscard]] bool hasRegionLimits() const
     {
         return std::ranges::any_of(
-                   routes, [](const auto &entry) { return !entry.second->allowedRegions.empty(); })
+                   routes,
+                   [](const auto &entry) { return !entry.second->permittedRegions.empty(); })
             || std::ranges::any_of(
-                   teams, [](const auto &entry) { return !entry.second.allowedRegions.empty(); });
+                   teams, [](const auto &entry) { return !entry.second.permittedRegions.empty(); });
     }
 
     [[nodiscard]] std::shared_ptr<const Route> findRoute(std::string_view database) const
--- a/Libraries/Sessions/SessionEngineRestrictions.cpp
+++ b/Libraries/Sessions/SessionEngineRestrictions.cpp
@@ -54,11 +54,11 @@
 {
     if (!isAnyRegionLimited_)
         return true;
-    if (!regions_.isAllowed(session.route->allowedRegions, dataCentre))
+    if (!regions_.isAllowed(session.route->permittedRegions, dataCentre))
         return false;
     const auto team = table_->teams.find(session.team);
     return team == table_->teams.end()
-        || regions_.isAllowed(team->second.allowedRegions, dataCentre);
+        || regions_.isAllowed(team->second.permittedRegions, dataCentre);
 }
 
 bool SessionEngine::isRestricted(const Session &session, const Database &database, bool isPrimary,
--- a/Tests/Fleet/TestTextDelta.cpp
+++ b/Tests/Fleet/TestTextDelta.cpp
@@ -17,7 +17,7 @@
     std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":[";
     for (const unsigned route : routes)
         text += "{\"name\":\"r-" + std::to_string(route)
-            + "\",\"pathPrefix\":\"/\",\"timeout\":800,\"labels\":{\"a\":1}},";
+            + "\",\"prefix\":\"/\",\"timeout\":800,\"labels\":{\"a\":1}},";
     return text + "]}";
 }
 
--- a/Tests/Sessions/TestRestrictions.cpp
+++ b/Tests/Sessions/TestRestrictions.cpp
@@ -83,7 +83,7 @@
         auto table = EngineFixture::table(nextVersion++);
         for (auto &[name, route] : table->routes) {
             auto limited = std::make_shared<Route>(*route);
-            limited->allowedRegions = regions;
+            limited->permittedRegions = regions;
             route = limited;
         }
         fixture.engine.configure(table, fixture.now);
@@ -188,7 +188,7 @@
 TEST(Restrictions, ATeamIsServedInItsRegionsOnly)
 {
     auto table = EngineFixture::table(2);
-    table->teams[Core::TeamName("team")].allowedRegions = {Core::RegionName("west")};
+    table->teams[Core::TeamName("team")].permittedRegions = {Core::RegionName("west")};
     fixture.engine.configure(table, fixture.now);
     const auto refused = answerToWrite();
     CHECK(refused.has_value() && refused->failure == Failure::Busy);
