Regions of teams stand apart from their limits

The limits are copied into each proxy's buckets, which have no use for regions; the linter objected to the copies. No change of behaviour, nothing measured.

--- a/Libraries/Sessions/RoutingTable.h
+++ b/Libraries/Sessions/RoutingTable.h
@@ -41,8 +41,6 @@
 {
     double ratePerSecond = 0; ///< Operations of the whole fleet; 0 is unlimited.
     double burst = 0;
-    /// The regions in which the team may be served; empty if it may be served anywhere.
-    std::vector<Core::RegionName> permittedRegions;
 };
 
 struct GroupLimits
@@ -62,6 +60,8 @@
     std::map<std::string, std::shared_ptr<const Route>, std::less<>> routes; ///< By database name.
     std::map<std::string, Core::TeamName, std::less<>> keys;                 ///< Team by key.
     std::map<Core::TeamName, TeamLimits> teams;
+    /// The regions in which a team may be served; a team without an entry may be served anywhere.
+    std::map<Core::TeamName, std::vector<Core::RegionName>> teamRegions;
     std::map<Core::GroupName, GroupLimits> groups;
     /// A transaction that is idle for longer is rolled back.
     Core::Duration transactionIdleTimeout{3'000};
@@ -69,11 +69,9 @@
     /// Whether a route or a team is limited to regions.
     [[nodiscard]] bool hasRegionLimits() const
     {
-        return std::ranges::any_of(
-                   routes,
-                   [](const auto &entry) { return !entry.second->permittedRegions.empty(); })
-            || std::ranges::any_of(
-                   teams, [](const auto &entry) { return !entry.second.permittedRegions.empty(); });
+        return !teamRegions.empty() || std::ranges::any_of(routes, [](const auto &entry) {
+            return !entry.second->permittedRegions.empty();
+        });
     }
 
     [[nodiscard]] std::shared_ptr<const Route> findRoute(std::string_view database) const
--- a/Libraries/Sessions/SessionEngineRestrictions.cpp
+++ b/Libraries/Sessions/SessionEngineRestrictions.cpp
@@ -56,9 +56,8 @@
         return true;
     if (!regions_.isAllowed(session.route->permittedRegions, dataCentre))
         return false;
-    const auto team = table_->teams.find(session.team);
-    return team == table_->teams.end()
-        || regions_.isAllowed(team->second.permittedRegions, dataCentre);
+    const auto team = table_->teamRegions.find(session.team);
+    return team == table_->teamRegions.end() || regions_.isAllowed(team->second, dataCentre);
 }
 
 bool SessionEngine::isRestricted(const Session &session, const Database &database, bool isPrimary,
--- a/Tests/Adapter/TestDocuments.cpp
+++ b/Tests/Adapter/TestDocuments.cpp
@@ -102,7 +102,7 @@
     const auto table = readRoutingTable(boost::json::parse(text));
     DOUBLES_EQUAL(12.5, table->groups.at(Core::GroupName("s")).coldRatePerSecond, 0.001);
     LONGS_EQUAL(2, table->findRoute("db")->permittedRegions.size());
-    CHECK(table->teams.at(Core::TeamName("t")).permittedRegions.front() == Core::RegionName("e"));
+    CHECK(table->teamRegions.at(Core::TeamName("t")).front() == Core::RegionName("e"));
     CHECK(table->hasRegionLimits());
     CHECK(!readRoutingTable(boost::json::parse(documentText))->hasRegionLimits());
 }
--- a/Tests/Sessions/TestRestrictions.cpp
+++ b/Tests/Sessions/TestRestrictions.cpp
@@ -188,7 +188,7 @@
 TEST(Restrictions, ATeamIsServedInItsRegionsOnly)
 {
     auto table = EngineFixture::table(2);
-    table->teams[Core::TeamName("team")].permittedRegions = {Core::RegionName("west")};
+    table->teamRegions[Core::TeamName("team")] = {Core::RegionName("west")};
     fixture.engine.configure(table, fixture.now);
     const auto refused = answerToWrite();
     CHECK(refused.has_value() && refused->failure == Failure::Busy);
