A response that goes on arriving does not time out

Cause: after all processes of a large fleet were killed each read the whole configuration again, over links that all share; 1.2 s for an answer of the store and 2.6 s for one of a feed passed before it was complete, and it was asked for once more. On a varied site of 300 VMs with about 1 MB of configuration 34 VMs of a data centre lost the store that way, and the configuration came into force 2 to 8 s after the restart. Ruled out: feeds that refuse (they answered), the list of members.

Change: the timeout of the HTTP client counts until the response begins, and then between parts of it. A server that stops is noticed as before. Answers load in which many read large objects at once. Tests: Client (a slow response and one that stops), on loopback sockets; the first fails before.

--- a/Libraries/Http/Client.cpp
+++ b/Libraries/Http/Client.cpp
@@ -100,13 +100,28 @@
     {
         parser_.emplace();
         parser_->body_limit(maximumResponseBytes);
-        http::async_read(*stream_, buffer_, *parser_,
-                         [self = shared_from_this()](beast::error_code error, std::size_t) {
-                             if (error)
-                                 self->fail(ErrorCode::Timeout, error);
-                             else
-                                 self->finish();
-                         });
+        readMore();
+    }
+
+    void readMore()
+    {
+        http::async_read_some(*stream_, buffer_, *parser_,
+                              [self = shared_from_this()](beast::error_code error, std::size_t) {
+                                  if (error)
+                                      self->fail(ErrorCode::Timeout, error);
+                                  else if (self->parser_->is_done())
+                                      self->finish();
+                                  else
+                                      self->continueReading();
+                              });
+    }
+
+    void continueReading()
+    {
+        // A long response over a slow link takes longer than the timeout, and a retry would make
+        // the link slower still.
+        stream_->expires_after(std::chrono::milliseconds(timeout_.milliseconds()));
+        readMore();
     }
 
     void finish()
--- a/Libraries/Http/Client.h
+++ b/Libraries/Http/Client.h
@@ -28,7 +28,8 @@
     Client(Client &&) = delete;
     Client &operator=(Client &&) = delete;
 
-    /// Sends one request. The completion is called once, from the context.
+    /// Sends one request. The completion is called once, from the context. The timeout counts until
+    /// the response begins, and then between any two parts of it.
     void send(Request, Core::Duration timeout, Completion);
 
 private:
