--- a/Libraries/Rates/FallbackBucket.cpp
+++ b/Libraries/Rates/FallbackBucket.cpp
@@ -40,20 +40,9 @@
     baselinePerSecond_ = std::max(baselinePerSecond_, perSecond);
     const double rate = baselinePerSecond_ * baselineFraction;
     tokens_ += rate * (now - lastUsedAt_).seconds();
-    tokens_ = std::min(tokens_, capacity());
-    lastUsedAt_ = now;
-}
-
-double FallbackBucket::capacity() const
-{
     // Unused tokens accumulate for at most one second.
-    return std::max(1.0, baselinePerSecond_ * baselineFraction);
-}
-
-void FallbackBucket::giveBack(std::uint32_t count, Core::Instant now)
-{
-    requested_.add(-static_cast<double>(count), now);
-    tokens_ = std::min(tokens_ + count, capacity());
+    tokens_ = std::min(tokens_, std::max(1.0, rate));
+    lastUsedAt_ = now;
 }
 
 bool FallbackBucket::isSurging(Core::Instant now) const
--- a/Libraries/Rates/FallbackBucket.h
+++ b/Libraries/Rates/FallbackBucket.h
@@ -24,15 +24,11 @@
     /// Takes up to \a needed tokens and returns how many were taken. \a perSecond is the rate at
     /// which, as far as the requester knows, the owner granted tokens before.
     [[nodiscard]] std::uint32_t take(std::uint32_t needed, double perSecond, Core::Instant now);
-    /// Takes back tokens of operations that reached no database, so that they count neither towards
-    /// the limit nor as demand.
-    void giveBack(std::uint32_t count, Core::Instant now);
     /// Returns the time after which another token can be expected.
     [[nodiscard]] Core::Duration waitForNext() const;
 
 private:
     void refill(double perSecond, Core::Instant now);
-    [[nodiscard]] double capacity() const;
     [[nodiscard]] bool isSurging(Core::Instant now) const;
 
     TokenBucket guaranteed_;
--- a/Libraries/Rates/RateLimiter.cpp
+++ b/Libraries/Rates/RateLimiter.cpp
@@ -160,7 +160,6 @@
         return grant;
     }
     FallbackBucket &bucket = fallbackBucketOf(request.team, state->second, now);
-    bucket.giveBack(request.returned, now);
     grant.operations = bucket.take(request.needed, request.baselinePerSecond, now);
     if (grant.operations < request.needed)
         grant.retryAfter = bucket.waitForNext();
@@ -285,6 +284,7 @@
         request.baselinePerSecond = state.granted.perSecond(now);
     else
         request.baselinePerSecond = state.baselinePerSecond;
+    // Tokens sent to a fallback are dropped: its bucket is too small to take them back.
     request.returned = std::exchange(state.returned, 0);
     state.outstanding = OutstandingRequest{request.id, role, to->node, request.needed, now};
     teamsWithRequest_.insert(team);
