--- a/Tests/Sessions/EngineFixture.h
+++ b/Tests/Sessions/EngineFixture.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -105,7 +104,7 @@
                     engine.admitted(request->session, now);
                 if (const auto *opened = std::get_if<OpenConnection>(&action)) {
                     databaseByConnection[opened->connection] = opened->database;
-                    if (opensConnections && !unreachable.contains(opened->database))
+                    if (opensConnections)
                         engine.connectionOpened(opened->connection, marks[opened->database], now);
                 }
                 all.push_back(std::move(action));
@@ -181,7 +180,6 @@
     std::map<ConnectionId, Core::DatabaseName> databaseByConnection;
     std::map<Core::DatabaseName, Core::LogMark> marks;
     bool opensConnections = true;
-    std::set<Core::DatabaseName> unreachable; ///< Connections to them stay in opening.
     bool admitsOperations = true;
 
 private:
