The grace of an evacuation counts with the feeds' answer time-out, not a copy of it

evacuationGracePeriod had its own 600 ms for what relayAnswerTimeout says; the value is the same, so nothing was measured. The comment on records that came with a copy says what its function returns.

--- a/Libraries/Fleet/FleetView.cpp
+++ b/Libraries/Fleet/FleetView.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// A record that was written in an earlier era than the one in which the store shows it came from a
-/// copy. It is older than what the fleet agreed on afterwards, so nobody may use its primary before
+/// Returns the record as it may be used. If it was written before the store came back from a copy,
+/// it may be older than what the fleet agreed on afterwards, so nobody may use its primary before
 /// the leader has found out which database leads.
 PrimaryRecord withoutOutdatedPrimary(PrimaryRecord record, Revision revision)
 {
--- a/Libraries/Fleet/RelayTiming.h
+++ b/Libraries/Fleet/RelayTiming.h
@@ -27,16 +27,6 @@
 /// Together this is well below the users' bound of 5 s for a configuration.
 constexpr Core::Duration maximumFeedLag{3'200};
 
-/// How long a primary may be used after a proxy learned that its data centre is being evacuated, if
-/// nothing may be sent there later than \a bound after the operators' request. A proxy may have
-/// learned it as late as its feed can lag.
-[[nodiscard]] constexpr Core::Duration evacuationGracePeriod(Core::Duration bound)
-{
-    constexpr Core::Duration answerAllowance{600};
-    const Core::Duration latest = maximumFeedLag + answerAllowance;
-    return bound > latest ? bound - latest : Core::Duration();
-}
-
 /// Maximum time for which a feed holds back a request for records. A silent feed is noticed a
 /// little later, and the requests for other objects then go to another source as well.
 constexpr Core::Duration recordsRelayHoldTimeout{2'000};
@@ -52,6 +42,16 @@
 /// Time allowed for a feed's answer beyond its hold time: connecting within a region, and a feed
 /// that answers a whole data centre on an eighth of a core.
 constexpr Core::Duration relayAnswerTimeout{600};
+
+/// How long a primary may be used after a proxy learned that its data centre is being evacuated, if
+/// nothing may be sent there later than \a bound after the operators' request. A proxy may have
+/// learned it as late as its feed can lag.
+[[nodiscard]] constexpr Core::Duration evacuationGracePeriod(Core::Duration bound)
+{
+    const Core::Duration latest = maximumFeedLag + relayAnswerTimeout;
+    return bound > latest ? bound - latest : Core::Duration();
+}
+
 /// Time allowed for an answer of the store. A feed's confirmation of objects other than records may
 /// be older than otherWatchTimeout by this.
 constexpr Core::Duration storeAnswerAllowance{1'500};
