Poolers order waiting statements fairly between teams and refuse what can't start in time

Change: FairOrder (start-time fair queueing within a priority), WaitEstimate (refusal on arrival, retry delay from the estimate).

--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -43,7 +43,7 @@
 /// Why an operation was not admitted.
 /// The role in which a proxy decided on a team's rate.
 enum class RateDecider {
-    Owner,    ///< The proxy that keeps the team's token bucket.
+    Owner,       ///< The proxy that keeps the team's token bucket.
     ShareHolder, ///< A proxy that holds a share, as the owner did not answer.
 };
 
--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -4,6 +4,7 @@
 #include <Core/Milliseconds.h>
 #include <Core/Pace.h>
 #include <Sessions/Actions.h>
+#include <Sessions/FairOrder.h>
 #include <Sessions/FreshnessTracker.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/SessionState.h>
@@ -127,7 +128,9 @@
 
     Core::LogMark highestMark;
     PrimaryHealth health = PrimaryHealth::Unknown;
-    std::vector<SessionId> queue; ///< Waiting sessions, by priority and then by arrival.
+    /// Waiting sessions, by priority, and within a priority fairly between teams.
+    std::vector<SessionId> queue;
+    FairOrder fairOrder;
 
     [[nodiscard]] bool mayUsePrimary(Core::Instant now) const
     {
--- a/Libraries/Sessions/Session.h
+++ b/Libraries/Sessions/Session.h
@@ -36,6 +36,7 @@
     std::optional<Core::LogMark> atLeast;
     std::vector<Core::DatabaseName> excludedDatabases; ///< Databases that refused the statement.
     unsigned attempts = 0;
+    double fairPosition = 0; ///< In FairOrder, among statements of the same priority.
 
     /// Whether the caller's statement may have reached a database.
     [[nodiscard]] bool isExecuting() const { return stage == Stage::Executing; }
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -266,8 +266,7 @@
     if (operation.stage == Operation::Stage::Queued) {
         if (now < std::min(operation.queueDeadline, operation.deadline))
             return;
-        returnAdmission(session);
-        fail(session, Failure::Busy, "no database had room in time; try again in 200 ms", now);
+        refuseForLackOfRoom(session, lackOfRoomRetryDelay, now);
         return;
     }
     if (now < operation.deadline)
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -10,6 +10,7 @@
 #include <Sessions/RegionMap.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/Session.h>
+#include <Sessions/WaitEstimate.h>
 
 #include <functional>
 #include <map>
@@ -123,6 +124,14 @@
     void startOperation(Session &, Statement, Core::Instant now);
     [[nodiscard]] bool resolveRoute(Session &, Core::Instant now);
     void enqueue(Session &, Statement, Core::Instant now);
+
+    // The queue (SessionEngineQueue.cpp).
+    void insertByOrder(Group &, const Session &);
+    /// The load of the database that a queued statement of another proxy waits for.
+    [[nodiscard]] WaitEstimate::SlotLoad loadAhead(const Session &, const Group &);
+    /// Refuses a queued statement of another proxy that is expected not to start in time.
+    void refuseIfUnmeetable(Session &, Group &, Core::Instant now);
+    void refuseForLackOfRoom(Session &, Core::Duration retryAfter, Core::Instant now);
     void runPinned(Session &, Statement, Core::Instant now);
 
     // Placement and sending.
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -269,14 +269,13 @@
     operation.queueDeadline = now + queueTimeout(*session.route);
     session.running = std::move(operation);
     Group &group = groupOf(session);
-    const auto priority = session.route->priority;
-    const auto position = std::ranges::find_if(group.queue, [&](SessionId other) {
-        return sessions_.at(other).route->priority > priority;
-    });
-    group.queue.insert(position, session.id);
+    session.running->fairPosition = group.fairOrder.enter(session.team);
+    insertByOrder(group, session);
     dispatch(group, now);
-    if (session.running && session.running->stage == Operation::Stage::Queued)
-        wakeAt(session.id, session.running->queueDeadline);
+    if (!session.running || session.running->stage != Operation::Stage::Queued)
+        return;
+    wakeAt(session.id, session.running->queueDeadline);
+    refuseIfUnmeetable(session, group, now);
 }
 
 void SessionEngine::runPinned(Session &session, Statement statement, Core::Instant now)
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -49,7 +49,11 @@
             unservable.emplace_back(id, *reason);
             return true;
         }
-        return place(*session, group, now);
+        const double position = session->running->fairPosition;
+        const bool isPlaced = place(*session, group, now);
+        if (isPlaced)
+            group.fairOrder.started(position);
+        return isPlaced;
     });
     for (const auto &[id, reason] : unservable) {
         Session &session = sessions_.at(id);
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -91,6 +91,9 @@
 /// Interval at which a statement is let through to probe an unreachable primary.
 constexpr Core::Duration unreachableProbeInterval{200};
 
+/// Retry delay of callers whose statement waited in vain: no estimate is known to be better.
+constexpr Core::Duration lackOfRoomRetryDelay{200};
+
 /// How long a statement may wait for a database: at most half of the latency objective and half of
 /// the statement timeout, so that time is left to run the statement or to retry elsewhere.
 [[nodiscard]] inline Core::Duration queueTimeout(const Route &route)
