Reads leave the data centre when a far database is expected to be faster, in a share that changes by steps

Cause: the distance to another data centre was a constant of 1 ms, and the load of a far database was known only from own statements, so that the choice lagged and neighbours moved together.

Change: DistanceTable (echoes of heartbeats), PoolerLoad on answers, DepartureControl (the share that leaves), setting placement.crossing_cost_ms. A read that all replicas refused is refused at once while the primary can't be used, which the queue did not look at.

--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -283,6 +283,7 @@
             nextReviewAt_ = now;
     }
     publishChangedPrimaries(now);
+    measureDistance(message, now);
     if (!message.confirmedAge || !message.isReceiverMember
         || message.echoIncarnation != self_.incarnation)
         return;
@@ -301,6 +302,13 @@
     }
 }
 
+void FleetEngine::measureDistance(const Heartbeat &message, Core::Instant now)
+{
+    const auto *sender = view_.findMember(message.node);
+    if (sender && message.echoIncarnation == self_.incarnation)
+        distances_.add(sender->record.dataCentre, now - message.echoSentAt - message.echoHeld);
+}
+
 void FleetEngine::writeEnded(CallId call, WriteOutcome outcome, Revision revision,
                              Core::Instant now)
 {
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -2,6 +2,7 @@
 
 #include <Core/Milliseconds.h>
 #include <Fleet/Actions.h>
+#include <Fleet/DistanceTable.h>
 #include <Fleet/FleetView.h>
 #include <Fleet/PeerTable.h>
 #include <Fleet/PromotionPlan.h>
@@ -68,6 +69,8 @@
     [[nodiscard]] std::vector<Action> takeActions();
 
     /// The number of members, including retired ones, that share the capacity of the databases.
+    /// The round-trip times to the data centres of proxies that this one exchanges heartbeats with.
+    [[nodiscard]] DistanceTable::RoundTrips roundTrips() const { return distances_.roundTrips(); }
     [[nodiscard]] std::size_t memberCount() const;
     /// Whether this proxy has enough contact to know that it is still a member.
     [[nodiscard]] bool isInContact(Core::Instant now) const;
@@ -178,6 +181,7 @@
 
     void sendHeartbeats(Core::Instant now);
     void requestConfirmations(Core::Instant now);
+    void measureDistance(const Heartbeat &, Core::Instant now);
     void sendTo(const MemberRecord &, Reply, Core::Instant now, Detail = Detail::InProgress);
     void sendToAll(Reply, Core::Instant now);
     /// Announces the changed primary records to all members soon.
@@ -201,6 +205,7 @@
     FleetSettings self_;
     FleetView view_;
     PeerTable peers_;
+    DistanceTable distances_;
     std::map<Core::GroupName, GroupState> groups_;
     std::map<Core::GroupName, PromotionPlan> plans_;
     std::map<Core::NodeName, ReportState> reportStates_;
--- a/Libraries/FleetWire/ForwardCodec.cpp
+++ b/Libraries/FleetWire/ForwardCodec.cpp
@@ -167,6 +167,9 @@
     reply.state = fromWire(message.state());
     if (message.has_mark_term())
         reply.mark = Core::LogMark{message.mark_term(), message.mark_position()};
+    if (message.has_wait_ms())
+        frame.answer.load = {Core::Duration(message.wait_ms()),
+                             Core::Duration(message.service_ms())};
     return frame;
 }
 
@@ -223,6 +226,10 @@
         message.set_mark_term(reply.mark->term);
         message.set_mark_position(reply.mark->position);
     }
+    if (const auto &load = frame.answer.load) {
+        message.set_wait_ms(toMilliseconds(load->wait));
+        message.set_service_ms(toMilliseconds(load->service));
+    }
     return envelope.SerializeAsString();
 }
 
--- a/Libraries/Sessions/Actions.h
+++ b/Libraries/Sessions/Actions.h
@@ -186,8 +186,9 @@
 {
     std::string outcome; ///< `done`, or the name of the failure.
     bool isOnReplica = false;
-    Core::Duration time;   ///< From arrival to answer.
-    Core::Duration queued; ///< The part of it before the statement was first sent.
+    std::string_view reach; ///< Whether the statement left the data centre, and why.
+    Core::Duration time;    ///< From arrival to answer.
+    Core::Duration queued;  ///< The part of it before the statement was first sent.
 };
 
 using Action = std::variant<AcceptSession, RequestAdmission, ReturnAdmission, AnswerSession,
--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -4,7 +4,9 @@
 #include <Core/Milliseconds.h>
 #include <Core/Pace.h>
 #include <Sessions/Actions.h>
+#include <Sessions/DepartureControl.h>
 #include <Sessions/FairOrder.h>
+#include <Sessions/Forwarding.h>
 #include <Sessions/FreshnessTracker.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/SessionState.h>
@@ -77,6 +79,9 @@
     Core::Instant lastPlacedAt;
     unsigned outstanding = 0;       ///< Statements that were sent and not answered yet.
     double serviceMilliseconds = 0; ///< Time from sending to reply, as a moving average.
+    /// What the pooler reported with its last answer, if it did.
+    std::optional<PoolerLoad> reportedLoad;
+    Core::Instant loadReportedAt;
     Core::Instant lastReply;
     /// When connections began to fail, with no reply since; the epoch if they don't fail.
     Core::Instant failingSince;
@@ -131,6 +136,7 @@
     /// Waiting sessions, by priority, and within a priority fairly between teams.
     std::vector<SessionId> queue;
     FairOrder fairOrder;
+    DepartureControl departures;
 
     [[nodiscard]] bool mayUsePrimary(Core::Instant now) const
     {
--- a/Libraries/Sessions/Forwarding.h
+++ b/Libraries/Sessions/Forwarding.h
@@ -41,10 +41,18 @@
     Sent,
 };
 
+/// The load of a database as its pooler reports it with an answer.
+struct PoolerLoad
+{
+    Core::Duration wait;    ///< Expected time until the next statement of this priority can start.
+    Core::Duration service; ///< The average time that a statement takes a slot.
+};
+
 struct ForwardedReply
 {
     DatabaseReply reply;
     ForwardedProgress progress = ForwardedProgress::Sent;
+    std::optional<PoolerLoad> load; ///< Empty from a pooler of an earlier build.
 };
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/Placement.cpp
+++ b/Libraries/Sessions/Placement.cpp
@@ -12,8 +12,6 @@
 /// The cost factor of reads on the primary, which occupy slots that only the primary can offer for
 /// writes.
 constexpr double primaryReadCostFactor = 1.8;
-/// The round-trip time to another data centre.
-constexpr double crossDataCentreMilliseconds = 1.0;
 /// A replica's lag varies; it is taken to have reached a mark that is older than its lag by this
 /// margin.
 constexpr Core::Duration lagMargin{10};
@@ -25,12 +23,14 @@
 double expectedMilliseconds(const Requirement &requirement, const Candidate &candidate)
 {
     double cost = candidate.serviceMilliseconds * (1.0 + candidate.outstanding);
+    if (candidate.waitMilliseconds)
+        cost = candidate.serviceMilliseconds + *candidate.waitMilliseconds;
     if (candidate.isPrimary && !requirement.isPrimaryOnly)
         cost *= primaryReadCostFactor;
     if (!candidate.hasConnection)
         cost += connectionOpenMilliseconds;
     if (!candidate.isNear)
-        cost += crossDataCentreMilliseconds;
+        cost += candidate.roundTripMilliseconds;
     return cost;
 }
 
@@ -42,24 +42,37 @@
 
 } // namespace
 
-std::optional<std::size_t> choose(const Requirement &requirement,
-                                  std::span<const Candidate> candidates)
+bool isBetter(const Option &option, const Option &other)
 {
-    std::optional<std::size_t> best;
-    bool isBestCold = false;
-    double bestCost = 0;
+    return option.isCold != other.isCold ? other.isCold : option.milliseconds < other.milliseconds;
+}
+
+std::string_view toString(Reach reach)
+{
+    switch (reach) {
+    case Reach::Near:
+        return "near";
+    case Reach::FarIsFaster:
+        return "far_is_faster";
+    case Reach::OnlyFar:
+        break;
+    }
+    return "only_far";
+}
+
+Options findOptions(const Requirement &requirement, std::span<const Candidate> candidates)
+{
+    Options options;
     for (const auto &candidate : candidates) {
         if (!hasFreeCapacity(candidate))
             continue;
-        const double cost = expectedMilliseconds(requirement, candidate);
-        const bool isBetter = candidate.isCold != isBestCold ? isBestCold : cost < bestCost;
-        if (best && !isBetter)
-            continue;
-        best = candidate.index;
-        isBestCold = candidate.isCold;
-        bestCost = cost;
+        const Option option{candidate.index, candidate.isPrimary, candidate.isCold,
+                            expectedMilliseconds(requirement, candidate)};
+        auto &best = candidate.isNear ? options.near : options.far;
+        if (!best || isBetter(option, *best))
+            best = option;
     }
-    return best;
+    return options;
 }
 
 bool isExpectedFresh(const Requirement &requirement, Core::LogMark known, Core::Duration lag)
--- a/Libraries/Sessions/Placement.h
+++ b/Libraries/Sessions/Placement.h
@@ -6,10 +6,14 @@
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <string_view>
 
 /// Chooses the database that executes a statement.
 namespace Chervilpin::Sessions::Placement {
 
+/// Used until the distance to a data centre has been measured.
+constexpr double unknownRoundTripMilliseconds = 1.0;
+
 /// What a statement requires of the database that executes it.
 struct Requirement
 {
@@ -33,12 +37,46 @@
     unsigned outstanding = 0;       ///< Statements of this proxy that it has not answered.
     unsigned limit = 1;             ///< The maximum of outstanding.
     double serviceMilliseconds = 0; ///< The average time from sending a statement to its reply.
+    /// The time to the database and back.
+    double roundTripMilliseconds = unknownRoundTripMilliseconds;
+    /// When a statement that arrives at the database can be expected to start, if its pooler has
+    /// reported that. Then serviceMilliseconds is the time that a statement takes there.
+    std::optional<double> waitMilliseconds;
+};
+
+/// Why a database was chosen that is or isn't in the proxy's own data centre.
+enum class Reach {
+    Near,
+    FarIsFaster,
+    OnlyFar, ///< No near database could take the statement.
+};
+
+[[nodiscard]] std::string_view toString(Reach);
+
+/// A candidate and when it is expected to have finished the statement.
+struct Option
+{
+    std::size_t index = 0;
+    bool isPrimary = false;
+    bool isCold = false;
+    double milliseconds = 0;
+};
+
+/// Whether the option is expected to be the better one. A cold database is slow, whatever the
+/// estimate says.
+[[nodiscard]] bool isBetter(const Option &, const Option &other);
+
+/// The best candidates in the proxy's own data centre and elsewhere.
+struct Options
+{
+    std::optional<Option> near;
+    std::optional<Option> far;
 };
 
-/// Returns the index of the candidate that is expected to finish the statement first, among those
-/// below their limit that have a connection or can open one, or nothing if there is none. Reads
-/// prefer replicas to the primary, so that a loaded primary keeps its slots for writes.
-[[nodiscard]] std::optional<std::size_t> choose(const Requirement &, std::span<const Candidate>);
+/// Returns the candidates that are expected to finish the statement first, among those below their
+/// limit that have a connection or can open one. Reads prefer replicas to the primary, so that a
+/// loaded primary keeps its slots for writes.
+[[nodiscard]] Options findOptions(const Requirement &, std::span<const Candidate>);
 
 /// Returns whether a replica is expected to have reached the required mark when the statement
 /// arrives. Its last known log mark is \a known.
--- a/Libraries/Sessions/Session.h
+++ b/Libraries/Sessions/Session.h
@@ -3,6 +3,7 @@
 #include <Core/LogMark.h>
 #include <Core/Milliseconds.h>
 #include <Sessions/Actions.h>
+#include <Sessions/Placement.h>
 #include <Sessions/RoutingTable.h>
 #include <Sessions/SessionState.h>
 
@@ -36,6 +37,7 @@
     std::optional<Core::LogMark> atLeast;
     std::vector<Core::DatabaseName> excludedDatabases; ///< Databases that refused the statement.
     unsigned attempts = 0;
+    Placement::Reach reach = Placement::Reach::Near;
     double fairPosition = 0; ///< In FairOrder, among statements of the same priority.
 
     /// Whether the caller's statement may have reached a database.
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -52,6 +52,13 @@
     void setMemberCount(std::size_t, Core::Instant now);
     /// Sets the proxies that may be poolers, including this one.
     void setPoolMembers(std::vector<PoolerCandidate>, Core::Instant now);
+    /// Sets the round-trip times to the data centres.
+    void setDistances(std::map<Core::DataCentreName, Core::Duration> roundTrips)
+    {
+        roundTrips_ = std::move(roundTrips);
+    }
+    /// What a read that leaves the data centre may cost, beside its time.
+    void setCrossingCost(Core::Duration cost) { crossingCost_ = cost; }
     void setRegions(RegionMap regions) { regions_ = std::move(regions); }
     /// How long a primary is used after the evacuation of its data centre was learned of.
     void setEvacuationGracePeriod(Core::Duration gracePeriod)
@@ -127,8 +134,12 @@
 
     // The queue (SessionEngineQueue.cpp).
     void insertByOrder(Group &, const Session &);
+    /// Whether a replica of the group has not refused the session's statement yet.
+    [[nodiscard]] static bool hasUntriedReplica(const Session &, const Group &);
     /// The load of the database that a queued statement of another proxy waits for.
     [[nodiscard]] WaitEstimate::SlotLoad loadAhead(const Session &, const Group &);
+    /// The load that another proxy gets to know with the answer to its statement.
+    [[nodiscard]] std::optional<PoolerLoad> poolerLoad(const Session &);
     /// Refuses a queued statement of another proxy that is expected not to start in time.
     void refuseIfUnmeetable(Session &, Group &, Core::Instant now);
     void refuseForLackOfRoom(Session &, Core::Duration retryAfter, Core::Instant now);
@@ -147,6 +158,10 @@
     [[nodiscard]] std::optional<std::string_view>
     unservableReason(const Session &, const Statement &, Group &, Probing, Core::Instant now);
     [[nodiscard]] bool place(Session &, Group &, Core::Instant now);
+    /// Chooses a database for the session's statement; returns its index in the group.
+    [[nodiscard]] std::optional<std::size_t>
+    chooseDatabase(Session &, Group &, const Placement::Requirement &, Core::Instant now);
+    void estimateTime(Placement::Candidate &, const Database &, Core::Instant now) const;
     [[nodiscard]] Placement::Requirement needOf(const Session &, const Statement &, const Group &,
                                                 Core::Instant now) const;
     [[nodiscard]] std::vector<Placement::Candidate>
@@ -256,6 +271,8 @@
     };
 
     Core::DataCentreName dataCentre_;
+    std::map<Core::DataCentreName, Core::Duration> roundTrips_;
+    Core::Duration crossingCost_;
     PoolerTable poolers_;
     EvacuationTable evacuations_;
     RegionMap regions_;
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -84,7 +84,7 @@
         group.outageSince = now;
     if (session.forwarded || now < group.outageSince + primaryOutageThreshold)
         return {};
-    if (needOf(session, statement, group, now).mark)
+    if (needOf(session, statement, group, now).mark && hasUntriedReplica(session, group))
         return {};
     if (isEvacuated)
         return primaryEvacuatedMessage;
@@ -148,7 +148,7 @@
         candidate.limit = isPooled(database, now) && poolers_.isSelf(database.entry, now)
             ? Placement::poolerLimit(database.entry.slots)
             : Placement::statementLimit(database.entry.slots, memberCount_);
-        candidate.serviceMilliseconds = database.serviceMilliseconds;
+        estimateTime(candidate, database, now);
         if (const PoolerCandidate *pooler = poolerOf(session, database, now)) {
             candidate.hasConnection = poolers_.linkTo(pooler->node) == PoolerTable::Link::Up;
             candidate.canOpen = true;
@@ -174,13 +174,53 @@
         || now >= replica.lastPlacedAt + lagProbeInterval;
 }
 
+void SessionEngine::estimateTime(Placement::Candidate &candidate, const Database &database,
+                                 Core::Instant now) const
+{
+    candidate.serviceMilliseconds = database.serviceMilliseconds;
+    const auto roundTrip = roundTrips_.find(database.entry.dataCentre);
+    if (roundTrip != roundTrips_.end())
+        candidate.roundTripMilliseconds = std::max(
+            candidate.roundTripMilliseconds, static_cast<double>(roundTrip->second.milliseconds()));
+    const Core::Duration age = now - database.loadReportedAt;
+    if (!database.reportedLoad || age > reportedLoadLifetime)
+        return;
+    const auto wait = std::max(database.reportedLoad->wait - age, Core::Duration(0));
+    candidate.waitMilliseconds = static_cast<double>(wait.milliseconds());
+    candidate.serviceMilliseconds =
+        static_cast<double>(database.reportedLoad->service.milliseconds());
+}
+
+std::optional<std::size_t> SessionEngine::chooseDatabase(Session &session, Group &group,
+                                                         const Placement::Requirement &need,
+                                                         Core::Instant now)
+{
+    using Side = DepartureControl::Side;
+    const auto options = Placement::findOptions(need, candidates(session, group, need, now));
+    const auto &[near, far] = options;
+    Operation &operation = *session.running;
+    if (!near || !far) {
+        operation.reach = near ? Placement::Reach::Near : Placement::Reach::OnlyFar;
+        const auto &only = near ? near : far;
+        return only ? std::optional(only->index) : std::nullopt;
+    }
+    // A far replica relieves a near primary, which alone can run writes. A cold database is
+    // avoided.
+    const bool isRoleDecisive = near->isPrimary || near->isCold != far->isCold;
+    const bool isFar = isRoleDecisive
+        ? Placement::isBetter(*far, *near)
+        : group.departures.choose(near->milliseconds, far->milliseconds, crossingCost_, now)
+            == Side::Far;
+    operation.reach = isFar ? Placement::Reach::FarIsFaster : Placement::Reach::Near;
+    return isFar ? far->index : near->index;
+}
+
 bool SessionEngine::place(Session &session, Group &group, Core::Instant now)
 {
     if (session.forwarded)
         return placeForwarded(session, now);
     const auto need = needOf(session, session.running->statement, group, now);
-    const auto options = candidates(session, group, need, now);
-    const auto chosen = Placement::choose(need, options);
+    const auto chosen = chooseDatabase(session, group, need, now);
     if (!chosen)
         return false;
     Database &database = databases_.at(group.databases[*chosen]);
--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -112,6 +112,10 @@
     channel->pendingReplies.pop_front();
     poolers_.onStatementFinished(channel->pooler);
     DatabaseReply &reply = forwarded.reply;
+    if (Database *database = findDatabase(channel->database); database && forwarded.load) {
+        database->reportedLoad = forwarded.load;
+        database->loadReportedAt = now;
+    }
     // An answer that the pooler gave by itself carries no information about the database.
     if (reply.mark)
         updateFromReply(*channel, reply, pending, now);
--- a/Libraries/Sessions/SessionEngineQueue.cpp
+++ b/Libraries/Sessions/SessionEngineQueue.cpp
@@ -1,6 +1,7 @@
 #include <Sessions/SessionEngine.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 /// The order of waiting statements, and the refusal of those that cannot start in time.
@@ -17,6 +18,16 @@
     group.queue.insert(std::ranges::find_if(group.queue, isAfter), session.id);
 }
 
+bool SessionEngine::hasUntriedReplica(const Session &session, const Group &group)
+{
+    if (!session.running)
+        return true;
+    const auto &tried = session.running->excludedDatabases;
+    return std::ranges::any_of(group.databases, [&](const Core::DatabaseName &database) {
+        return database != group.primary && std::ranges::find(tried, database) == tried.end();
+    });
+}
+
 WaitEstimate::SlotLoad SessionEngine::loadAhead(const Session &session, const Group &group)
 {
     WaitEstimate::SlotLoad load;
@@ -36,6 +47,26 @@
     return load;
 }
 
+std::optional<PoolerLoad> SessionEngine::poolerLoad(const Session &session)
+{
+    const Database *database = findDatabase(session.forwarded->database);
+    if (!database)
+        return {};
+    WaitEstimate::SlotLoad load;
+    load.slots = database->entry.slots;
+    load.outstanding = database->outstanding;
+    load.serviceMilliseconds = database->serviceMilliseconds;
+    const auto priority = session.route->priority;
+    for (const SessionId id : groupOf(session).queue) {
+        const Session *other = findSession(id);
+        if (other && other->forwarded && other->route->priority <= priority
+            && other->forwarded->database == session.forwarded->database)
+            ++load.ahead;
+    }
+    return PoolerLoad{WaitEstimate::expectedWait(load),
+                      Core::Duration(std::llround(database->serviceMilliseconds))};
+}
+
 void SessionEngine::refuseIfUnmeetable(Session &session, Group &group, Core::Instant now)
 {
     // Only the pooler knows who waits for the database. A proxy's own callers can use any database
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -32,6 +32,7 @@
     CountOutcome outcome;
     outcome.outcome = failure ? toString(*failure) : doneOutcome;
     outcome.isOnReplica = operation.isOnReplica;
+    outcome.reach = Placement::toString(operation.reach);
     outcome.time = now - operation.arrived;
     outcome.queued = operation.firstSentAt.value_or(now) - operation.arrived;
     return outcome;
@@ -301,6 +302,7 @@
             ++sampledLinesSkipped_;
     }
     session.running.reset();
+    answered.load = poolerLoad(session);
     session.lastActive = now;
     // The idle timeout of the transaction is enforced by the proxy that has the caller.
     answered.reply = std::move(reply);
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -91,6 +91,9 @@
 /// Interval at which a statement is let through to probe an unreachable primary.
 constexpr Core::Duration unreachableProbeInterval{200};
 
+/// A pooler's report of the load of its database counts for this long. A loaded pooler answers many
+/// statements in that time.
+constexpr Core::Duration reportedLoadLifetime{500};
 /// Retry delay of callers whose statement waited in vain: no estimate is known to be better.
 constexpr Core::Duration lackOfRoomRetryDelay{200};
 
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -41,6 +41,7 @@
     , rates_({settings_.node, settings_.dataCentre, settings_.peerListen}, incarnation_)
     , timer_(context)
 {
+    sessions_.setCrossingCost(settings_.crossingCost);
     sessions_.setRegions(Sessions::RegionMap(settings_.regions));
     sessions_.setEvacuationGracePeriod(Fleet::evacuationGracePeriod(settings_.evacuationBound));
 }
@@ -274,6 +275,8 @@
                  "outcome=\"" + outcome.outcome + "\",on=\""
                      + (outcome.isOnReplica ? "replica" : "primary") + "\"");
     constexpr std::int64_t microseconds = 1'000;
+    metrics_.add("chervilpin_statements_placed_total",
+                 "reach=\"" + std::string(outcome.reach) + "\"");
     metrics_.record("chervilpin_statement_microseconds", "",
                     static_cast<std::uint64_t>(outcome.time.milliseconds() * microseconds));
     metrics_.record("chervilpin_queue_microseconds", "",
@@ -341,6 +344,7 @@
     Observe::flushLog();
     fleet_.setConfigurationVersion(configurationVersion_);
     sessions_.setMemberCount(fleet_.memberCount(), now);
+    sessions_.setDistances(fleet_.roundTrips());
     rates_.setFleetVisibility(fleet_.isInContact(now) ? Rates::FleetVisibility::Sufficient
                                                       : Rates::FleetVisibility::Insufficient);
     checkConfigurationVersion(now);
@@ -374,8 +378,7 @@
 {
     const Core::Instant now = Core::SteadyClock::now();
     Core::Instant due = std::min(sessions_.nextDeadline(), fleet_.nextDeadline());
-    due = std::min(
-        {due, nextEngineSyncAt_, rates_.nextDeadline(), relayResponder_.nextDeadline()});
+    due = std::min({due, nextEngineSyncAt_, rates_.nextDeadline(), relayResponder_.nextDeadline()});
     due = std::max(due, now + Core::Duration(1));
     if (isTimerArmed_ && timerDueAt_ <= due && timerDueAt_ > now)
         return;
--- a/Services/SessionProxy/SessionProxySettings.cpp
+++ b/Services/SessionProxy/SessionProxySettings.cpp
@@ -121,6 +121,7 @@
         TRY(reader.flag("evacuations.enabled", settings.followsEvacuations));
     settings.evacuationBound = Core::Duration(
         TRY(reader.positive("evacuations.bound_ms", settings.evacuationBound.milliseconds())));
+    settings.crossingCost = Core::Duration(TRY(reader.positive("placement.crossing_cost_ms", 0)));
     settings.maximumSessions = static_cast<std::size_t>(TRY(
         reader.positive("limits.sessions", static_cast<std::int64_t>(settings.maximumSessions))));
     settings.sampledLinesPerSecond = static_cast<double>(TRY(reader.positive(
--- a/Services/SessionProxy/SessionProxySettings.h
+++ b/Services/SessionProxy/SessionProxySettings.h
@@ -37,6 +37,9 @@
     bool followsEvacuations = true;
     /// The time after such a request from which nothing may be sent to the databases there.
     Core::Duration evacuationBound{5'000};
+    /// What a read that leaves the data centre may cost, beside the time that it takes. 0 means
+    /// that only time counts.
+    Core::Duration crossingCost;
     std::size_t maximumSessions = 3'800;
     Observe::Severity logLevel = Observe::Severity::Info;
     double sampledLinesPerSecond = 20;  ///< Limit for successful requests.
--- a/Tests/FleetWire/TestForwardCodec.cpp
+++ b/Tests/FleetWire/TestForwardCodec.cpp
@@ -74,6 +74,17 @@
     }
 }
 
+TEST(ForwardCodec, LoadOfThePoolerRoundTrips)
+{
+    ReplyFrame frame;
+    CHECK(!std::get<ReplyFrame>(*decodeFrame(encode(frame))).answer.load);
+    // No wait is a report as well.
+    frame.answer.load = {Core::Duration(0), Core::Duration(15)};
+    const auto read = std::get<ReplyFrame>(*decodeFrame(encode(frame)));
+    CHECK(read.answer.load && read.answer.load->wait == Core::Duration(0));
+    CHECK(read.answer.load->service == Core::Duration(15));
+}
+
 TEST(ForwardCodec, InvalidFramesAreRejected)
 {
     CHECK(!decodeFrame("no protobuf \xff").has_value());
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -409,6 +409,28 @@
     CHECK(onReplicas >= 20);
 }
 
+/// No database is left for the read, so it must not wait until its time is up.
+TEST(SessionEngine, ReadThatAllReplicasRefusedIsRefusedAtOnceWhileThePrimaryIsReplaced)
+{
+    fixture.showPrimaryMark({1, 5});
+    fixture.advance(Core::Duration(500));
+    fixture.grantLease(2, EngineFixture::primary, false);
+    (void)fixture.takeActions();
+    const auto other = fixture.open("latest");
+    fixture.send(other, StatementKind::Read, "1");
+    fixture.advance(primaryOutageThreshold);
+    (void)fixture.takeActions();
+    const auto session = fixture.open("aged");
+    fixture.send(session, StatementKind::Read, "1");
+    for (int replica = 0; replica < 2; ++replica) {
+        const auto sent = fixture.sent();
+        LONGS_EQUAL(1, sent.size());
+        fixture.replyFailure(sent.front().connection, Failure::Busy);
+        fixture.advance(1_ms);
+    }
+    CHECK(onlyFailure() == Failure::Busy);
+}
+
 TEST(SessionEngine, AnOperationWaitsForItsTeamsRateAndARefusalIsFinal)
 {
     fixture.admitsOperations = false;
