Statements wait at the poolers, up to 32 of a proxy, and no longer for the proxy's own limit

Cause: a proxy sent at most two statements at a time to the pooler of a database, and the others waited at the proxy, outside the pooler's order and without its estimate, until their time was up.

Change: the limit of a proxy at a pooler is 32.

--- a/Libraries/Losses/LossReport.h
+++ b/Libraries/Losses/LossReport.h
@@ -16,7 +16,7 @@
 /// Why a statement was not served.
 enum class Cause {
     OverRate,           ///< The owner of the team's rate refused it.
-    OverRateOfHolder, ///< A holder of a share refused it, as the owner did not answer.
+    OverRateOfHolder,   ///< A holder of a share refused it, as the owner did not answer.
     NoRoom,             ///< It waited for a database until its queue timeout.
     PrimaryReplaced,    ///< The proxy had no lease of the primary.
     PrimaryUnreachable, ///< The primary did not answer the proxy.
--- a/Libraries/Rates/OwnerTable.cpp
+++ b/Libraries/Rates/OwnerTable.cpp
@@ -85,6 +85,7 @@
     std::ranges::sort(far, {}, preference);
 
     std::vector<Granter> order;
+    order.reserve(owners.holders.size() + 1);
     for (const auto &holder : near)
         order.push_back({Role::ShareHolder, holder});
     order.push_back({Role::Owner, *owners.owner});
--- a/Libraries/Sessions/Placement.h
+++ b/Libraries/Sessions/Placement.h
@@ -89,6 +89,11 @@
 /// priority.
 [[nodiscard]] unsigned statementLimit(unsigned slots, std::size_t proxies);
 
+/// The maximum number of statements that one proxy sends to the pooler of a database at a time.
+/// They wait there, where they are ordered among those of all proxies and refused if they can't
+/// start in time. Bounds what a pooler has to hold.
+constexpr unsigned forwardedLimit = 32;
+
 /// Returns the maximum number of statements that the pooler of a database sends to it at a time.
 /// One statement is queued at the database, so that no slot idles for a round trip; all others wait
 /// in the pooler's ordered queue.
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -150,6 +150,7 @@
             : Placement::statementLimit(database.entry.slots, memberCount_);
         estimateTime(candidate, database, now);
         if (const PoolerCandidate *pooler = poolerOf(session, database, now)) {
+            candidate.limit = Placement::forwardedLimit;
             candidate.hasConnection = poolers_.linkTo(pooler->node) == PoolerTable::Link::Up;
             candidate.canOpen = true;
         } else if (candidate.isCold && !mayStartOnCold(database, now)) {
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -470,6 +470,8 @@
     metrics_.set("chervilpin_database_connections", "",
                  static_cast<std::int64_t>(sessions_.connectionCount()));
     metrics_.set("chervilpin_members", "", static_cast<std::int64_t>(fleet_.memberCount()));
+    metrics_.set("chervilpin_rate_shares_held", "",
+                 static_cast<std::int64_t>(rates_.heldShareCount(Core::SteadyClock::now())));
     metrics_.set("chervilpin_leader", "", fleet_.isLeader() ? 1 : 0);
     metrics_.set("chervilpin_configuration_version", "",
                  static_cast<std::int64_t>(configurationVersion_));
--- a/Tests/FleetWire/TestPeerMessageCodec.cpp
+++ b/Tests/FleetWire/TestPeerMessageCodec.cpp
@@ -58,8 +58,8 @@
           && readRequest->prefetch == 2);
     LONGS_EQUAL(6, readRequest->returned);
 
-    Rates::TokenGrant grant{
-        7, Core::TeamName("t"), Core::NodeName("n"), false, 4, Core::Duration(250)};
+    Rates::TokenGrant grant{7, Core::TeamName("t"), Core::NodeName("n"), false,
+                            4, Core::Duration(250)};
     const auto decodedGrant = FleetWire::decode(FleetWire::encode(grant));
     CHECK(decodedGrant.has_value());
     const auto *readGrant = std::get_if<Rates::TokenGrant>(&*decodedGrant);
@@ -82,8 +82,8 @@
     DOUBLES_EQUAL(0.25, readReport.held, 0);
     DOUBLES_EQUAL(1.5, readReport.demandPerSecond, 0.001);
 
-    const Rates::ShareLease lease{
-        7, Core::TeamName("t"), Core::NodeName("n"), 0.4, Core::Duration(15'000)};
+    const Rates::ShareLease lease{7, Core::TeamName("t"), Core::NodeName("n"), 0.4,
+                                  Core::Duration(15'000)};
     const auto decodedLease = FleetWire::decode(FleetWire::encode(lease));
     CHECK(decodedLease.has_value());
     const auto &readLease = std::get<Rates::ShareLease>(*decodedLease);
@@ -102,8 +102,8 @@
 TEST(PeerMessageCodec, SharesBeyondTheLimitAreRejected)
 {
     for (const double share : {-0.1, 1.1, std::numeric_limits<double>::quiet_NaN()}) {
-        Rates::ShareReport report{
-            7, "10.0.0.1:9", Core::TeamName("t"), Core::NodeName("n"), 11, share};
+        Rates::ShareReport report{7,  "10.0.0.1:9", Core::TeamName("t"), Core::NodeName("n"),
+                                  11, share};
         CHECK(!FleetWire::decode(FleetWire::encode(report)).has_value());
         Rates::ShareLease lease{7, Core::TeamName("t"), Core::NodeName("n"), share, {}};
         CHECK(!FleetWire::decode(FleetWire::encode(lease)).has_value());
