--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -96,7 +96,18 @@
     Core::Instant bypassPoolerUntil;
     Core::Instant coldUntil; ///< It is slow after its start until then.
     Core::Pace coldPace;     ///< Limits statements while it is cold.
-    bool isDelisted = false; ///< Removed from the directory; kept while connections exist.
+    /// Since when statements placed on it can't be sent, as no connection or link to its pooler
+    /// opens; the epoch if they can.
+    Core::Instant unsentSince;
+    Core::Instant reachProbeAt; ///< When it is tried again while it is unresponsive.
+    bool isDelisted = false;    ///< Removed from the directory; kept while connections exist.
+
+    /// Whether it is taken to be out of reach for now. Unlike isUnreachable(), this says nothing
+    /// against its health.
+    [[nodiscard]] bool isUnresponsive(Core::Instant now) const
+    {
+        return unsentSince != Core::Instant() && now >= unsentSince + unresponsiveTimeout;
+    }
 
     /// Whether connections have failed repeatedly for at least primaryUnreachableTimeout, without a
     /// success.
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -166,6 +166,10 @@
                                                 Core::Instant now) const;
     [[nodiscard]] std::vector<Placement::Candidate>
     candidates(const Session &, const Group &, const Placement::Requirement &, Core::Instant now);
+    /// Tries to reach an unresponsive database again.
+    void probeReach(const Session &, Database &, Core::Instant now);
+    /// A statement that was placed on the database could not be sent yet.
+    void noteUnsent(Database &, Core::Instant now);
     [[nodiscard]] static bool isEligibleReplica(const Database &replica,
                                                 const Placement::Requirement &, Core::Instant now);
     [[nodiscard]] Connection *findIdle(const Database &, const Core::TeamName &,
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -17,6 +17,7 @@
     Database &database = databases_.at(connection->database);
     database.failures = 0;
     database.failingSince = Core::Instant();
+    database.unsentSince = Core::Instant();
     if (mark) {
         database.lastKnownMark = *mark;
         Group &group = groups_.at(connection->group);
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -125,6 +125,7 @@
                                                             Core::Instant now)
 {
     std::vector<Placement::Candidate> result;
+    std::vector<Placement::Candidate> unresponsive;
     const auto &excluded = session.running->excludedDatabases;
     for (std::size_t i = 0; i < group.databases.size(); ++i) {
         Database &database = databases_.at(group.databases[i]);
@@ -159,9 +160,36 @@
             candidate.hasConnection = findIdle(database, session.team, session.state.values());
             candidate.canOpen = now >= database.openAfter;
         }
+        if (database.isUnresponsive(now)) {
+            probeReach(session, database, now);
+            unresponsive.push_back(candidate);
+            continue;
+        }
         result.push_back(candidate);
     }
-    return result;
+    return result.empty() ? unresponsive : result;
+}
+
+void SessionEngine::probeReach(const Session &session, Database &database, Core::Instant now)
+{
+    // It is tried beside the work, so that no statement has to wait for it.
+    if (now < database.reachProbeAt)
+        return;
+    database.reachProbeAt = now + unreachableProbeInterval;
+    if (const PoolerCandidate *pooler = poolerOf(session, database, now)) {
+        if (poolers_.linkTo(pooler->node) != PoolerTable::Link::Up)
+            openLinkTo(*pooler, now);
+    } else if (!isOpening(database, session.team)) {
+        openFor(database, session.team, evictionWaitTime, now);
+    }
+}
+
+void SessionEngine::noteUnsent(Database &database, Core::Instant now)
+{
+    if (database.unsentSince != Core::Instant() || now < database.lastReply + unresponsiveTimeout)
+        return;
+    database.unsentSince = now;
+    scheduleReview(now + unresponsiveTimeout);
 }
 
 bool SessionEngine::isEligibleReplica(const Database &replica, const Placement::Requirement &need,
@@ -230,11 +258,13 @@
         pooler ? nullptr : findIdle(database, session.team, session.state.values());
     if (pooler && poolers_.linkTo(pooler->node) != PoolerTable::Link::Up) {
         openLinkTo(*pooler, now);
+        noteUnsent(database, now);
         return false;
     }
     if (!pooler && !connection) {
         if (!isOpening(database, session.team))
             openFor(database, session.team, now - session.running->arrived, now);
+        noteUnsent(database, now);
         return false;
     }
     const bool isReplica = group.primary != database.entry.id;
--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -185,6 +185,11 @@
 void SessionEngine::linkOpened(const Core::NodeName &node, Core::Instant now)
 {
     poolers_.onLinkOpened(node, now);
+    for (auto &[name, database] : databases_) {
+        const PoolerCandidate *pooler = poolers_.choose(database.entry, now);
+        if (pooler && pooler->node == node)
+            database.unsentSince = Core::Instant();
+    }
     scheduleReview(now);
     dispatchAll(now);
 }
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -80,6 +80,7 @@
     database->lastReply = now;
     database->failingSince = Core::Instant();
     database->failures = 0;
+    database->unsentSince = Core::Instant();
     if (pending.purpose == ReplyPurpose::Caller) {
         const auto time = static_cast<double>((now - pending.sentAt).milliseconds());
         auto &smoothed = database->serviceMilliseconds;
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -13,6 +13,9 @@
 /// A primary that has refused connections for this long is suspected. A restart of a database takes
 /// longer.
 constexpr Core::Duration primaryUnreachableTimeout{250};
+/// A database is passed over if nothing could be sent to it for this long. Opening a connection or
+/// a link takes tens of milliseconds.
+constexpr Core::Duration unresponsiveTimeout{150};
 /// Interval at which groups and connections are checked while work is pending.
 constexpr Core::Duration reviewInterval{150};
 /// Delay before reconnecting to a database after a failed connection.
--- a/Tests/Sessions/EngineFixture.h
+++ b/Tests/Sessions/EngineFixture.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -104,7 +105,7 @@
                     engine.admitted(request->session, now);
                 if (const auto *opened = std::get_if<OpenConnection>(&action)) {
                     databaseByConnection[opened->connection] = opened->database;
-                    if (opensConnections)
+                    if (opensConnections && !unreachable.contains(opened->database))
                         engine.connectionOpened(opened->connection, marks[opened->database], now);
                 }
                 all.push_back(std::move(action));
@@ -180,6 +181,7 @@
     std::map<ConnectionId, Core::DatabaseName> databaseByConnection;
     std::map<Core::DatabaseName, Core::LogMark> marks;
     bool opensConnections = true;
+    std::set<Core::DatabaseName> unreachable; ///< Connections to them stay in opening.
     bool admitsOperations = true;
 
 private:
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -558,6 +558,31 @@
     LONGS_EQUAL(1, fixture.sent().size());
 }
 
+/// While a data centre is cut off, connections to the databases on the other side hang. Guards
+/// against reads that wait for them although a database on this side could serve them.
+TEST(SessionEngine, ReadsPassOverAReplicaToWhichNoConnectionOpens)
+{
+    fixture.showPrimaryMark({1, 10});
+    fixture.advance(500_ms);
+    for (const auto &name : {fixture.replica, fixture.otherReplica}) {
+        fixture.marks[name] = {1, 10};
+        fixture.unreachable.insert(name);
+    }
+    fixture.send(fixture.open("aged"), StatementKind::Read, "1");
+    LONGS_EQUAL(0, fixture.sent().size());
+    fixture.advance(unresponsiveTimeout);
+    // The read that waits for the first replica now tries the other one.
+    LONGS_EQUAL(0, fixture.sent().size());
+    fixture.advance(unresponsiveTimeout);
+    const auto waiting = fixture.sent();
+    LONGS_EQUAL(1, waiting.size());
+    CHECK(fixture.databaseByConnection.at(waiting.front().connection) == fixture.primary);
+    fixture.replySuccess(waiting.front().connection, {1, 10});
+    (void)fixture.takeActions();
+    fixture.send(fixture.open("aged"), StatementKind::Read, "1");
+    LONGS_EQUAL(1, fixture.sent().size());
+}
+
 /// Statements for an unreachable primary must not all wait for their timeout, nor be refused after
 /// it is reachable again. Only a statement can show that, so one is let through every 200 ms.
 /// While a data centre is cut off, the callers of groups without a primary would otherwise use up
