Statements take the path of a proxy that reaches the database, and are refused at once if there is none

Cause: a pooler that was cut off from a database kept what was forwarded to it until its time was up, and once it refused, all proxies connected directly for a second.

Change: a pooler refuses statements for a database to which nothing can be sent; proxies pass over it for this database only (PoolerTable:: onDatabaseRefused). Without a path statements that need the primary are refused on arrival, and the primary is probed beside the work (probePrimary). forwarding_refused is logged always; chervilpin_events_total counts decisions.

With the refusal at once alone, the existing AnUnreachablePrimaryIsProbedAndUsedAgain failed, hence the probe.

--- a/Libraries/Sessions/Database.h
+++ b/Libraries/Sessions/Database.h
@@ -91,8 +91,7 @@
     /// Number of connections that were open when the database refused another one.
     std::size_t observedConnectionLimit = 0;
     Core::Instant observedLimitUntil; ///< Until when observedConnectionLimit applies.
-    /// Until then, statements bypass the pooler, since it could not reach the database or a
-    /// statement through it timed out.
+    /// Until then, statements bypass the pooler, since one through it timed out.
     Core::Instant bypassPoolerUntil;
     Core::Instant coldUntil; ///< It is slow after its start until then.
     Core::Pace coldPace;     ///< Limits statements while it is cold.
@@ -137,6 +136,9 @@
     Core::Instant previousLeaseExpiry;
     Core::Instant primarySince; ///< When this proxy learned of the current primary.
     Core::Instant nextProbeAt;  ///< When a statement may probe an unreachable primary again.
+    /// A primary that there is no path to is probed until then, on behalf of this team.
+    Core::Instant probedUntil;
+    Core::TeamName probeTeam;
     /// When a statement first found the primary unusable; the epoch while it is usable.
     Core::Instant outageSince;
     /// Whether the connections active at the expiry of the lease were closed.
--- a/Libraries/Sessions/PoolerTable.cpp
+++ b/Libraries/Sessions/PoolerTable.cpp
@@ -71,13 +71,22 @@
 {
     for (const std::size_t index : candidatesFor(database)) {
         const PoolerCandidate &member = members_[index];
-        const auto state = links_.find(member.node);
-        if (member.node == self_ || state == links_.end() || state->second.isUsable(now))
+        if (member.node == self_ || isUsableFor(database.id, member.node, now))
             return &member;
     }
     return nullptr;
 }
 
+bool PoolerTable::isUsableFor(const Core::DatabaseName &database, const Core::NodeName &node,
+                              Core::Instant now) const
+{
+    const auto state = links_.find(node);
+    if (state != links_.end() && !state->second.isUsable(now))
+        return false;
+    const auto refused = refusedUntil_.find({database, node});
+    return refused == refusedUntil_.end() || now >= refused->second;
+}
+
 const PoolerCandidate *PoolerTable::untriedFirstCandidate(const DatabaseEntry &database)
 {
     const auto &ranked = candidatesFor(database);
@@ -151,6 +160,13 @@
     links_[node].avoidUntil = now + poolerBackoff;
 }
 
+void PoolerTable::onDatabaseRefused(const Core::NodeName &node, const Core::DatabaseName &database,
+                                    Core::Instant now)
+{
+    std::erase_if(refusedUntil_, [now](const auto &entry) { return now >= entry.second; });
+    refusedUntil_[{database, node}] = now + poolerBackoff;
+}
+
 void PoolerTable::onStatementSent(const Core::NodeName &node, Core::Instant now)
 {
     LinkState &state = links_[node];
--- a/Libraries/Sessions/PoolerTable.h
+++ b/Libraries/Sessions/PoolerTable.h
@@ -63,6 +63,10 @@
     /// The proxy accepts no statements because it is shutting down. It is not chosen for
     /// poolerBackoff.
     void onRefused(const Core::NodeName &, Core::Instant now);
+    /// The proxy accepts no statements for this database, for example because it can't reach it.
+    /// It is not chosen for this database for poolerBackoff, so that statements take the path
+    /// through another proxy.
+    void onDatabaseRefused(const Core::NodeName &, const Core::DatabaseName &, Core::Instant now);
     /// A statement was sent over the link.
     void onStatementSent(const Core::NodeName &, Core::Instant now);
     /// A message was received over the link.
@@ -107,6 +111,8 @@
     };
 
     [[nodiscard]] const std::vector<std::size_t> &candidatesFor(const DatabaseEntry &);
+    [[nodiscard]] bool isUsableFor(const Core::DatabaseName &, const Core::NodeName &,
+                                   Core::Instant now) const;
     /// Returns the highest-ranked usable candidate, which may be this proxy, or null if there is
     /// none.
     [[nodiscard]] const PoolerCandidate *firstUsable(const DatabaseEntry &, Core::Instant now);
@@ -117,6 +123,8 @@
     /// The highest-ranked members, as indices into members_.
     std::map<Core::DatabaseName, std::vector<std::size_t>> candidates_;
     std::map<Core::NodeName, LinkState> links_;
+    /// Until when a proxy is not chosen for a database whose statements it refused.
+    std::map<std::pair<Core::DatabaseName, Core::NodeName>, Core::Instant> refusedUntil_;
 };
 
 } // namespace Chervilpin::Sessions
--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -366,6 +366,7 @@
     if (group.isPrimaryActive && !isLeaseExpired)
         scheduleReview(group.leaseExpiry);
     reviewHealth(group, now);
+    probePrimary(group, now);
     if (group.queue.empty())
         return;
     dispatch(group, now);
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -168,6 +168,9 @@
     candidates(const Session &, const Group &, const Placement::Requirement &, Core::Instant now);
     /// Tries to reach an unresponsive database again.
     void probeReach(const Session &, Database &, Core::Instant now);
+    /// Tries to connect to a primary that this proxy knows no path to, as long as callers ask for
+    /// it.
+    void probePrimary(Group &, Core::Instant now);
     /// A statement that was placed on the database could not be sent yet.
     void noteUnsent(Database &, Core::Instant now);
     [[nodiscard]] static bool isEligibleReplica(const Database &replica,
--- a/Libraries/Sessions/SessionEngineDispatch.cpp
+++ b/Libraries/Sessions/SessionEngineDispatch.cpp
@@ -71,8 +71,11 @@
     if (isAnyRegionLimited_
         && isOutsideAllowedRegions(session, needOf(session, statement, group, now), group))
         return outsideRegionsMessage;
-    const Database *primary = findDatabase(group.primary);
-    const bool isUnreachable = primary && primary->isUnreachable(now);
+    Database *primary = findDatabase(group.primary);
+    // While a proxy that may reach the primary is left to be tried, statements wait for its link.
+    const bool hasNoPath =
+        primary && primary->isUnresponsive(now) && !poolerOf(session, *primary, now);
+    const bool isUnreachable = primary && (primary->isUnreachable(now) || hasNoPath);
     const bool isEvacuated =
         primary && evacuations_.useOf(primary->entry.dataCentre, now) == EvacuationTable::Use::None;
     const bool isUsable = group.mayUsePrimary(now) && !isUnreachable && !isEvacuated;
@@ -90,6 +93,12 @@
         return primaryEvacuatedMessage;
     if (!group.mayUsePrimary(now))
         return primaryBeingReplacedMessage;
+    if (hasNoPath) {
+        group.probeTeam = session.team;
+        group.probedUntil = now + probeDuration;
+        probePrimary(group, now);
+        return primaryUnreachableMessage;
+    }
     if (now >= group.nextProbeAt) {
         // Only a statement can show that the primary is reachable again.
         if (probing == Probing::Take)
@@ -176,7 +185,8 @@
     if (now < database.reachProbeAt)
         return;
     database.reachProbeAt = now + unreachableProbeInterval;
-    if (const PoolerCandidate *pooler = poolerOf(session, database, now)) {
+    const PoolerCandidate *pooler = session.forwarded ? nullptr : poolerOf(session, database, now);
+    if (pooler) {
         if (poolers_.linkTo(pooler->node) != PoolerTable::Link::Up)
             openLinkTo(*pooler, now);
     } else if (!isOpening(database, session.team)) {
@@ -184,6 +194,19 @@
     }
 }
 
+void SessionEngine::probePrimary(Group &group, Core::Instant now)
+{
+    Database *primary = findDatabase(group.primary);
+    if (!primary || now >= group.probedUntil || !primary->isUnresponsive(now))
+        return;
+    if (now >= primary->reachProbeAt) {
+        primary->reachProbeAt = now + unreachableProbeInterval;
+        if (!isOpening(*primary, group.probeTeam))
+            openFor(*primary, group.probeTeam, evictionWaitTime, now);
+    }
+    scheduleReview(primary->reachProbeAt);
+}
+
 void SessionEngine::noteUnsent(Database &database, Core::Instant now)
 {
     if (database.unsentSince != Core::Instant() || now < database.lastReply + unresponsiveTimeout)
--- a/Libraries/Sessions/SessionEngineForwarding.cpp
+++ b/Libraries/Sessions/SessionEngineForwarding.cpp
@@ -143,15 +143,14 @@
 void SessionEngine::forwardingRefused(Connection &channel, const ForwardedReply &forwarded,
                                       Core::Instant now)
 {
-    log(Importance::Sampled, "forwarding_refused",
+    log(Importance::Always, "forwarding_refused",
         {{"node", channel.pooler.value()},
          {"database", channel.database.value()},
          {"why", forwarded.reply.failureText}});
-    Database *database = findDatabase(channel.database);
     if (forwarded.progress == ForwardedProgress::Stopping)
         poolers_.onRefused(channel.pooler, now);
-    else if (database)
-        database->bypassPoolerUntil = now + poolerBackoff;
+    else
+        poolers_.onDatabaseRefused(channel.pooler, channel.database, now);
     Session *session = findSession(channel.session);
     const ConnectionId id = channel.id;
     Group &group = groups_.at(channel.group);
@@ -306,7 +305,8 @@
     if (use == EvacuationTable::Use::None
         || (use == EvacuationTable::Use::PrimaryOnly && !need.isPrimaryNeeded))
         return "the data centre of the database is being evacuated";
-    if (database->failingSince != Core::Instant() && now < database->openAfter)
+    const bool isFailing = database->failingSince != Core::Instant() && now < database->openAfter;
+    if (isFailing || database->isUnresponsive(now))
         return "the database can't be reached from here";
     return {};
 }
@@ -316,6 +316,9 @@
     const ForwardedTarget &need = *session.forwarded;
     Group &group = groupOf(session);
     if (auto why = refusalReason(need, group, now)) {
+        if (Database *refused = findDatabase(need.database);
+            refused && refused->isUnresponsive(now))
+            probeReach(session, *refused, now);
         refuseForwarded(session.id, ForwardedProgress::NotAccepted, std::move(*why));
         session.running.reset();
         return true;
@@ -327,6 +330,7 @@
     if (!connection) {
         if (!isOpening(database, session.team))
             openFor(database, session.team, now - session.running->arrived, now);
+        noteUnsent(database, now);
         return false;
     }
     if (isCold(database, now) && !mayStartOnCold(database, now)) {
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -80,8 +80,8 @@
 constexpr Core::Duration pingTimeout{200};
 /// Timeout of opening a link to a pooler: a round trip and one retransmission.
 constexpr Core::Duration linkOpenTimeout{300};
-/// How long a pooler that refused a statement is avoided, and how long a database is accessed
-/// directly after its pooler failed to reach it or a statement through it timed out.
+/// How long a pooler that refused a statement is avoided, for one database or for all, and how long
+/// a database is accessed directly after a statement through its pooler timed out.
 constexpr Core::Duration poolerBackoff{1'000};
 /// Interval between the first two probes of a failed pooler; doubled after each probe. The restart
 /// of a process takes about as long.
@@ -91,8 +91,12 @@
 /// Planned changes of primary and lost connections cause shorter interruptions; a failover takes
 /// seconds.
 constexpr Core::Duration primaryOutageThreshold{400};
-/// Interval at which a statement is let through to probe an unreachable primary.
+/// Interval at which an unreachable primary is probed: by a statement that is let through, or by
+/// opening a connection if there is no path for a statement.
 constexpr Core::Duration unreachableProbeInterval{200};
+/// How long a primary without a path is probed after a caller last asked for it. Callers usually
+/// try again within a second.
+constexpr Core::Duration probeDuration{1'000};
 
 /// A pooler's report of the load of its database counts for this long. A loaded pooler answers many
 /// statements in that time.
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -287,6 +287,9 @@
 {
     const Core::Instant now = Core::SteadyClock::now();
     const bool isSampled = line.importance == Sessions::Importance::Sampled;
+    // Counted before the limit on lines, so that no decision is missing from the metrics.
+    if (!isSampled)
+        metrics_.add("chervilpin_events_total", "event=\"" + line.name + "\"");
     Core::Pace &pace = isSampled ? sampledLinePace_ : failureLinePace_;
     const double perSecond =
         isSampled ? settings_.sampledLinesPerSecond : settings_.failureLinesPerSecond;
--- a/Tests/Sessions/SimulatedFleet.h
+++ b/Tests/Sessions/SimulatedFleet.h
@@ -164,6 +164,12 @@
             drain(i);
         }
     }
+    /// Loses all messages between the proxy and the database from now on.
+    void cutFromDatabase(unsigned proxy, unsigned database)
+    {
+        cuts_.insert({proxy, databaseName(database)});
+    }
+    void healCuts() { cuts_.clear(); }
     /// Makes each database count this many connections of failed proxies towards its limit.
     void countFailedConnections(unsigned count) { failedConnections_ = count; }
     /// Gives the proxy a refusal of the statement that it forwarded last, as from a pooler that has
@@ -445,6 +451,8 @@
     void openConnection(unsigned proxy, const OpenConnection &open)
     {
         const Key key{proxy, open.connection};
+        if (cuts_.contains({proxy, open.database}))
+            return;
         const Core::Duration networkDelay =
             delay(proxies_[proxy].dataCentre, databases_.at(open.database).dataCentre);
         std::size_t counted = failedConnections_;
@@ -478,6 +486,8 @@
         if (found == connections_.end())
             return;
         const Core::DatabaseName database = found->second.database;
+        if (cuts_.contains({proxy, database}))
+            return;
         const Core::Duration networkDelay =
             delay(proxies_[proxy].dataCentre, databases_.at(database).dataCentre);
         const StatementKind kind = send.statement.kind;
@@ -553,6 +563,7 @@
     ConnectionId lastForwarded_ = 0;
     std::map<std::string, unsigned> loggedLines_;
     std::map<StatementKind, unsigned> statementsOutsideTransactions_;
+    std::set<std::pair<unsigned, Core::DatabaseName>> cuts_; ///< Proxies and databases.
     std::size_t failedConnections_ = 0;
 };
 
--- a/Tests/Sessions/TestForwarding.cpp
+++ b/Tests/Sessions/TestForwarding.cpp
@@ -223,3 +223,38 @@
     LONGS_EQUAL(1, fleet.linesLogged("link_lost"));
     LONGS_EQUAL(1, fleet.linesLogged("link_regained"));
 }
+
+/// A partition that separates the pooler and the caller's proxy from the primary, but not a third
+/// proxy: callers are served through that one, and the pooler is used again afterwards.
+TEST(Forwarding, StatementsTakeThePathOfAProxyThatReachesTheDatabase)
+{
+    SimulatedFleet::Options options;
+    options.proxies = 6;
+    SimulatedFleet wide(options);
+    const SessionId first = wide.open(entry, 0);
+    wide.send(entry, first, StatementKind::Write, "1 x");
+    wide.advance(60_ms);
+    const auto connected = wide.proxiesConnectedTo(0);
+    LONGS_EQUAL(1, connected.size());
+    const unsigned cutPooler = *connected.begin();
+    wide.cutFromDatabase(cutPooler, 0);
+    wide.cutFromDatabase(entry, 0);
+    const auto servedOf = [&](unsigned count) {
+        unsigned served = 0;
+        for (unsigned i = 0; i < count; ++i) {
+            const SessionId session = wide.open(entry, i % 2);
+            wide.send(entry, session, StatementKind::Write, "1 x");
+            wide.advance(100_ms);
+            served += nameOf(wide.takeAnswer(session)) == "done" ? 1 : 0;
+            wide.close(entry, session);
+        }
+        return served;
+    };
+    // Statements on connections that have just fallen silent are lost.
+    (void)servedOf(10);
+    CHECK(servedOf(40) >= 36);
+    wide.healCuts();
+    (void)servedOf(20);
+    CHECK(wide.proxiesConnectedTo(0).contains(cutPooler));
+    LONGS_EQUAL(20, servedOf(20));
+}
--- a/Tests/Sessions/TestPoolerTable.cpp
+++ b/Tests/Sessions/TestPoolerTable.cpp
@@ -74,6 +74,19 @@
     STRCMP_EQUAL("a", chosen().c_str());
 }
 
+TEST(PoolerTable, PoolerThatRefusedADatabaseIsPassedOverForThatDatabaseOnly)
+{
+    table.setMembers({member("a", "near"), member("b", "far")});
+    STRCMP_EQUAL("a", chosen().c_str());
+    table.onDatabaseRefused(Core::NodeName("a"), database.id, now);
+    STRCMP_EQUAL("b", chosen().c_str());
+    DatabaseEntry other = database;
+    other.id = Core::DatabaseName("other");
+    STRCMP_EQUAL("a", table.choose(other, now)->node.value().c_str());
+    now = now + 1_s;
+    STRCMP_EQUAL("a", chosen().c_str());
+}
+
 TEST(PoolerTable, ProbesBackOff)
 {
     table.setMembers({member("a", "near"), member("b", "far")});
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -640,6 +640,32 @@
     STRCMP_EQUAL("none", nameOf(fixture.answers().front().failure).c_str());
 }
 
+/// A partition that loses packets: opening a connection neither succeeds nor fails.
+TEST(SessionEngine, StatementsForAPrimaryWithoutAPathAreRefusedAtOnce)
+{
+    fixture.unreachable.insert(EngineFixture::primary);
+    const auto refusedAtOnce = [&](int count) {
+        int refused = 0;
+        for (int i = 0; i < count; ++i) {
+            const auto session = fixture.open("latest");
+            (void)fixture.takeActions();
+            fixture.send(session, StatementKind::Write, "1 x");
+            refused += static_cast<int>(
+                std::ranges::count(fixture.answers(), session, &AnswerSession::session));
+            fixture.advance(20_ms);
+        }
+        return refused;
+    };
+    (void)refusedAtOnce(35);
+    LONGS_EQUAL(20, refusedAtOnce(20));
+    fixture.unreachable.clear();
+    // The connection that is being opened is given up after 1.5 s; another one then succeeds.
+    (void)refusedAtOnce(75);
+    const auto session = fixture.open("latest");
+    fixture.send(session, StatementKind::Write, "1 x");
+    LONGS_EQUAL(1, fixture.sent().size());
+}
+
 TEST(SessionEngine, AStatementInATransactionIsNotCountedAsWaiting)
 {
     const auto session = fixture.open("own");
