After a partition the leader waits for the old primary before it discards what was acknowledged there

Change: PromotionPlan waits up to 1.5 s if a partition has just ended and a candidate may lack commits; suspicions count 1.5 s after a primary was restored; a conflict of a record's write is followed by the newer record or 250 ms.

--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -97,6 +97,7 @@
         /// no other database can have been ordered to take over.
         Core::Instant earlierLeaseUntil;
         Revision earlierLeaseRevision = 0;
+        Core::Instant restoredAt; ///< When a plan last ended with the old primary restored.
         std::optional<Core::Instant> leavingSince; ///< When the primary was first seen draining.
         /// Since when the primary's data centre is being evacuated.
         std::optional<Core::Instant> evacuatingSince;
@@ -173,6 +174,8 @@
     [[nodiscard]] bool mayWaitForSilentMembers(const std::optional<Core::Instant> &plannedSince,
                                                Core::Duration timeout, Core::Instant now) const;
     [[nodiscard]] bool isAnyMemberSilent(Core::Instant now) const;
+    /// Whether a member whose leases may still be valid is out of this proxy's reach.
+    [[nodiscard]] bool isSilent(const Core::NodeName &member, Core::Instant now) const;
     [[nodiscard]] bool isPrimaryDown(const Core::GroupName &, const GroupState &,
                                      Core::Instant now) const;
     [[nodiscard]] PlanInputs planInputs(const Core::GroupName &, const GroupState &,
--- a/Libraries/Fleet/FleetEngineLeadership.cpp
+++ b/Libraries/Fleet/FleetEngineLeadership.cpp
@@ -266,6 +266,11 @@
     }
     auto plan = plans_.find(group);
     if (plan != plans_.end() && plan->second.isFinished()) {
+        // After a conflict the newer record usually arrives soon; another write would fail as well.
+        if (plan->second.revision() == primary->revision && now < plan->second.nextStepAt())
+            return;
+        if (plan->second.hasRestoredOldPrimary())
+            state.restoredAt = now;
         plans_.erase(plan);
         plan = plans_.end();
     }
@@ -383,10 +388,14 @@
 
 bool FleetEngine::isAnyMemberSilent(Core::Instant now) const
 {
-    return std::ranges::any_of(view_.members(), [&](const auto &entry) {
-        return entry.first != self_.node && !haveLeasesExpired(entry.first, now)
-            && !peers_.isHeardWithin(entry.first, peerTimeout, now);
-    });
+    return std::ranges::any_of(view_.members(),
+                               [&](const auto &entry) { return isSilent(entry.first, now); });
+}
+
+bool FleetEngine::isSilent(const Core::NodeName &member, Core::Instant now) const
+{
+    return member != self_.node && !haveLeasesExpired(member, now)
+        && !peers_.isHeardWithin(member, peerTimeout, now);
 }
 
 bool FleetEngine::isPrimaryDown(const Core::GroupName &group, const GroupState &state,
@@ -398,6 +407,9 @@
         return false;
     if (now < leadingSince_ + leaderSettleDelay)
         return false;
+    // The primary has just answered this proxy; others are still opening connections to it.
+    if (now < state.restoredAt + restorationSettleDelay)
+        return false;
     if (now >= majorityHeardAt_ + majorityTimeout && now < majorityHeardAt_ + minorityTimeout)
         return false;
     std::size_t suspects = state.health == Health::Suspect ? 1 : 0;
@@ -441,6 +453,13 @@
 {
     PlanInputs inputs;
     inputs.highestMark = state.mark;
+    for (const auto &[node, member] : view_.members()) {
+        if (!isSilent(node, now))
+            continue;
+        inputs.isAnyMemberSilent = true;
+        inputs.isAnySilentMemberUnfenced |=
+            !plan.isClaimed() || !hasAdopted(member.record, group, plan.claimRevision());
+    }
     const Sessions::DatabaseEntry *lastResort = nullptr;
     for (const auto &entry : state.databases) {
         if (isEvacuated(entry))
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -17,6 +17,9 @@
 constexpr Core::Duration statusTimeout = 300_ms;
 /// Maximum time to wait until a draining primary's last commits have reached the candidate.
 constexpr Core::Duration catchUpTimeout = 1'500_ms;
+/// Maximum time to wait, after a partition, for an old primary that has commits which no candidate
+/// has. A connection that is opened again after a lost packet takes a second.
+constexpr Core::Duration oldPrimaryTimeout = 1'500_ms;
 /// Delay before a failed call is retried.
 constexpr Core::Duration retryInterval = 250_ms;
 /// A call that wasn't answered within this is made again.
@@ -71,6 +74,7 @@
             step_ = Step::Publish;
             return publish(nextCall, now);
         }
+        wasPartitioned_ |= inputs.isAnySilentMemberUnfenced;
         if (!inputs.isFenced || (isUnverified() && now < claimedAt_ + eraSettleDelay))
             return queryStatuses(inputs, now);
         choosingSince_ = now;
@@ -142,6 +146,8 @@
     const bool isCommitsAwaited = reason_ != ReplacementReason::Failed || isUnverified();
     if (isCommitsAwaited && now < choosingSince_ + catchUpTimeout)
         return statuses_.at(*candidate).received >= inputs.highestMark;
+    if (isOldPrimaryAwaited(inputs, *candidate, now))
+        return false;
     const bool areAllStatusesKnown =
         std::ranges::all_of(inputs.candidates, [&](const auto &database) {
             return statuses_.contains(database) || notRunning_.contains(database);
@@ -149,6 +155,18 @@
     return areAllStatusesKnown || now >= choosingSince_ + statusTimeout;
 }
 
+bool PromotionPlan::isOldPrimaryAwaited(const PlanInputs &inputs,
+                                        const Core::DatabaseName &candidate,
+                                        Core::Instant now) const
+{
+    const bool hasPartitionEnded = wasPartitioned_ && !inputs.isAnySilentMemberUnfenced;
+    const bool mayLackCommits =
+        inputs.isAnyMemberSilent || statuses_.at(candidate).received < inputs.highestMark;
+    // Its directory entry may have expired during the partition, so it need not be listed yet.
+    return hasPartitionEnded && mayLackCommits && notRunning_.empty()
+        && now < choosingSince_ + oldPrimaryTimeout;
+}
+
 bool PromotionPlan::isOldPrimaryServing(const PlanInputs &inputs) const
 {
     const auto status = statuses_.find(record_.database);
@@ -241,6 +259,7 @@
     if (outcome == WriteOutcome::Conflict) {
         // Another proxy changed the record; the leader reviews the group again with the new one.
         step_ = Step::Finished;
+        nextStepAt_ = now + retryInterval;
         return;
     }
     revision_ = revision;
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -42,6 +42,12 @@
     bool canRestoreOldPrimary = false;
     /// The highest log position of the old primary that any proxy has seen.
     Core::LogMark highestMark;
+    /// Whether a member whose leases may still be valid is out of the leader's reach, so that the
+    /// log position that it saw is not known.
+    bool isAnyMemberSilent = false;
+    /// Whether one of these has not stopped using the old primary. A member may show that it has in
+    /// its record, before the leader hears it again.
+    bool isAnySilentMemberUnfenced = false;
 };
 
 /// Replaces the primary of one group on behalf of the leader: claim, fence, choose, order, publish.
@@ -52,7 +58,8 @@
 ///    Another candidate is chosen only if the order was answered with NotRunning.
 /// 4. Once the candidate reports that it is the primary, the record names it as Active.
 ///
-/// If the old primary answers before an order was sent, the record names it as Active again.
+/// If the old primary answers before an order was sent, the record names it as Active again. After
+/// a partition it is given time for that: the proxies on its side may have gone on writing to it.
 class PromotionPlan
 {
 public:
@@ -76,6 +83,13 @@
     /// since the store came back from a copy. Then the databases themselves show which one leads.
     [[nodiscard]] bool isUnverified() const { return record_.isUnverified; }
     [[nodiscard]] const Core::DatabaseName &oldPrimary() const { return record_.database; }
+    /// The revision of the group's record as the plan last knew it.
+    [[nodiscard]] Revision revision() const { return revision_; }
+    /// Whether the plan ended with the old primary as the primary again.
+    [[nodiscard]] bool hasRestoredOldPrimary() const
+    {
+        return isFinished() && candidate_ == record_.database;
+    }
     /// When advance() has to be called again if nothing else happens.
     [[nodiscard]] Core::Instant nextStepAt() const { return nextStepAt_; }
 
@@ -101,6 +115,10 @@
     std::vector<Action> publish(CallId &nextCall, Core::Instant now);
     std::vector<Action> queryStatuses(const PlanInputs &, Core::Instant now);
     [[nodiscard]] bool mayOrder(const PlanInputs &, Core::Instant now) const;
+    /// Whether promoting this candidate now would discard commits of an old primary that a
+    /// partition had hidden and that may soon answer.
+    [[nodiscard]] bool isOldPrimaryAwaited(const PlanInputs &, const Core::DatabaseName &candidate,
+                                           Core::Instant now) const;
     [[nodiscard]] std::optional<Core::DatabaseName> bestCandidate(const PlanInputs &) const;
     [[nodiscard]] Event event(const char *name) const;
 
@@ -114,6 +132,8 @@
     Revision claimRevision_ = 0;
     Core::Instant claimedAt_;     ///< When this proxy learned that the claim was written.
     Core::Instant choosingSince_; ///< When the fence was complete, or the last candidate refused.
+    /// Whether the fence had to wait for members out of the leader's reach.
+    bool wasPartitioned_ = false;
     Core::Instant statusesQueriedAt_;
     Core::Instant nextStepAt_;
     Core::Instant retryAt_; ///< No action is taken before this, after a failed call.
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -58,6 +58,9 @@
 /// After contact with the store was regained, suspicions count only after this. Connections that
 /// broke in the same partition are opened again in that time.
 constexpr Core::Duration reconnectSettleDelay{1'000};
+/// Suspicions of a primary that a replacement has found to be alive count only after this. A
+/// connection that is opened again after a lost packet takes a second.
+constexpr Core::Duration restorationSettleDelay{1'500};
 /// Interval of reviews of conditions that no event announces.
 constexpr Core::Duration reviewInterval{250};
 /// Candidates for the leadership claim it one after the other at this interval, those with the
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -77,7 +77,7 @@
             for (auto &[name, proxy] : proxies) {
                 if (paused.contains(name))
                     continue;
-                if (!cutFromStore.contains(name))
+                if (!cutFromStore.contains(name) && !withoutWatch.contains(name))
                     watch(proxy);
                 proxy.engine->advance(now);
                 performActions(name, proxy);
@@ -96,6 +96,9 @@
         ++era;
     }
 
+    /// Gives the primary's record a newer revision, as if another proxy had written it.
+    void rewritePrimaryRecord() { objects_.at(primaryKey(group)).revision = ++revision_; }
+
     void report(Health health)
     {
         for (auto &[name, proxy] : proxies) {
@@ -131,6 +134,7 @@
     std::map<std::string, Proxy> proxies;
     std::vector<Sessions::DatabaseEntry> directory;
     std::set<std::string> cutFromStore;
+    std::set<std::string> withoutWatch; ///< They can write to the store, but learn of no change.
     std::set<std::string> cutFromPeers;
     std::set<std::string> paused;
     std::set<std::string> silentDatabases;
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -529,6 +529,84 @@
     LONGS_EQUAL(0, four.orders.size());
 }
 
+namespace {
+
+/// Isolates a proxy together with the primary for four seconds, in which its callers write.
+void isolateWithPrimary(FleetFixture &fleet, const std::string &proxy)
+{
+    fleet.cutFromStore.insert(proxy);
+    fleet.cutFromPeers.insert(proxy);
+    fleet.silentDatabases.insert("db-1");
+    for (auto &[name, other] : fleet.proxies) {
+        if (name != proxy)
+            other.engine->primaryHealth(FleetFixture::group, Health::Suspect, {1, 10}, fleet.now);
+    }
+    fleet.advanceTime(4_s);
+    fleet.proxies.at(proxy).engine->primaryHealth(FleetFixture::group, Health::Healthy, {1, 40},
+                                                  fleet.now);
+    fleet.cutFromStore.clear();
+}
+
+} // namespace
+
+/// The store shows first that the isolated proxy has stopped using the primary; its heartbeats and
+/// then the leader's connection to the primary come back later.
+TEST(FleetEngine, WritesAcknowledgedDuringAPartitionAreNotDiscardedAfterIt)
+{
+    FleetFixture four(4);
+    isolateWithPrimary(four, four.leader() == "n4" ? "n3" : "n4");
+    four.advanceTime(300_ms);
+    four.cutFromPeers.clear();
+    four.advanceTime(700_ms);
+    LONGS_EQUAL(0, four.orders.size());
+    four.silentDatabases.clear();
+    four.advanceTime(1_s);
+    LONGS_EQUAL(0, four.orders.size());
+    LONGS_EQUAL(4, four.leaseHolders()["db-1"].size());
+}
+
+/// The proxies' connections to the primary come back later than the leader's.
+TEST(FleetEngine, ARestoredPrimaryIsNotSuspectedAtOnce)
+{
+    FleetFixture four(4);
+    isolateWithPrimary(four, four.leader() == "n4" ? "n3" : "n4");
+    four.cutFromPeers.clear();
+    four.silentDatabases.clear();
+    four.advanceTime(300_ms);
+    four.report(Health::Suspect);
+    four.silentDatabases.insert("db-1");
+    four.advanceTime(1_s);
+    LONGS_EQUAL(4, four.leaseHolders()["db-1"].size());
+    four.advanceTime(2_s);
+    LONGS_EQUAL(1, four.orders.size());
+}
+
+TEST(FleetEngine, APrimaryThatDoesNotAnswerAfterAPartitionIsReplaced)
+{
+    FleetFixture four(4);
+    isolateWithPrimary(four, four.leader() == "n4" ? "n3" : "n4");
+    four.cutFromPeers.clear();
+    four.advanceTime(2_s);
+    LONGS_EQUAL(1, four.orders.size());
+    LONGS_EQUAL(4, four.leaseHolders()["db-3"].size());
+    LONGS_EQUAL(0, four.fencingViolations.size());
+}
+
+TEST(FleetEngine, ALeaderWithAnOutdatedRecordDoesNotWriteWithoutDelay)
+{
+    const std::string leader = fleet.leader();
+    fleet.withoutWatch.insert(leader);
+    fleet.cutFromPeers.insert(leader);
+    fleet.rewritePrimaryRecord();
+    const unsigned before = fleet.writes;
+    // The primary has left the directory, so it is to be replaced.
+    fleet.directory.erase(fleet.directory.begin());
+    fleet.proxies.at(leader).engine->directoryChanged(fleet.directory, fleet.now);
+    fleet.advanceTime(1_s);
+    CHECK(fleet.writes > before);
+    CHECK(fleet.writes - before <= 5);
+}
+
 /// Bounds the size of heartbeats to the leader, which one of 295 proxies sends with a report for
 /// each group whose health it knows.
 TEST(FleetEngine, TheLeaderIsSentReportsOnlyOfGroupsWithKnownHealth)
