--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -37,10 +37,16 @@
         self.file.flush()
 
 
+taken_ports = set()
+
+
 def free_port(kinds=(socket.SOCK_STREAM,), count=1):
     """Returns the first of `count` consecutive ports that are free for all socket kinds."""
     for _ in range(200):
         port = random.randint(20000, 29000)
+        wanted = set(range(port, port + count))
+        if wanted & taken_ports:
+            continue
         held = []
         try:
             for offset in range(count):
@@ -48,6 +54,7 @@
                     sock = socket.socket(socket.AF_INET, kind)
                     held.append(sock)
                     sock.bind((HOST, port + offset))
+            taken_ports.update(wanted)
             return port
         except OSError:
             continue
@@ -249,6 +256,7 @@
         self.connections = set()
         self.server = None
         self.proofs = 0
+        self.arrivals = []  # (time, identifier) of the statements of callers
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port, limit=2 ** 21)
@@ -332,6 +340,8 @@
         while True:
             line = (await self.reader.readuntil(b"\r\n")).decode().rstrip("\r\n")
             _, identifier, text = line.split(" ", 2)
+            if identifier != "-":
+                database.arrivals.append((now(), identifier))
             lines = await self.execute(identifier, text)
             if lines is not None:
                 self.send(*lines, self.ready())
