--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -215,11 +215,13 @@
     def __init__(self, world):
         super().__init__()
         self.world = world
+        self.tokens = []  # The fencing tokens, in the order of their arrival.
 
     async def handle(self, method, target, fields, body):
         if method != "POST" or target != "/promotion":
             return 404, {}
         order = json.loads(body)
+        self.tokens.append(int(fields["fencing-token"]))
         self.world.record(f"promotion ordered of {order['id']} by {fields.get('duty-holder')} "
                           f"with token {fields.get('fencing-token')}")
         database = self.world.databases.get(order["id"])
@@ -230,6 +232,93 @@
         return 200, {}
 
 
+class CuttablePath:
+    """A network path to a server that can be cut for a while, with TCP's usual behaviour.
+
+    What was sent on an open connection during a cut is retransmitted at doubling intervals, also
+    after the sender closed the connection, but not after it reset it. The opening of a connection
+    is retried after 1, 3 and 7 seconds.
+    """
+
+    first_retransmission = 0.2
+    retransmissions = 8
+    opening_retries = (1, 3, 7)
+
+    def __init__(self, record, port):
+        self.record = record
+        self.target = port
+        self.port = free_port()
+        self.is_cut = False
+        self.server = None
+
+    @property
+    def address(self):
+        return f"{HOST}:{self.port}"
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, HOST, self.port)
+
+    async def passes(self, waits):
+        """Returns whether one of the packets sent after these waits gets through."""
+        since = time.monotonic()
+        for wait in waits:
+            await asyncio.sleep(max(0, since + wait - time.monotonic()))
+            if not self.is_cut:
+                return True
+        return False
+
+    async def serve(self, reader, writer):
+        sent = asyncio.Queue()  # What the client sent; None at its end.
+        state = {"is_closed": False, "is_reset": False}
+        collector = asyncio.ensure_future(self.collect(reader, sent, state))
+        to_server = None
+        back = None
+        try:
+            if self.is_cut:
+                self.record("path: an opening packet is lost")
+                # A client that closes a connection that isn't open yet has sent nothing.
+                if not await self.passes(self.opening_retries) or state["is_closed"]:
+                    return
+            from_server, to_server = await asyncio.open_connection(HOST, self.target)
+            back = asyncio.ensure_future(self.forward_back(from_server, writer))
+            waits = [self.first_retransmission * (2 ** n - 1)
+                     for n in range(1, self.retransmissions)]
+            while (chunk := await sent.get()) is not None:
+                if self.is_cut:
+                    self.record(f"path: {len(chunk)} bytes are held up")
+                    if not await self.passes(waits) or state["is_reset"]:
+                        return
+                    self.record(f"path: {len(chunk)} bytes are retransmitted")
+                to_server.write(chunk)
+                await to_server.drain()
+            await asyncio.sleep(0.2)
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            collector.cancel()
+            if back:
+                back.cancel()
+            writer.close()
+            if to_server:
+                to_server.close()
+
+    async def collect(self, reader, sent, state):
+        try:
+            while chunk := await reader.read(65536):
+                sent.put_nowait(chunk)
+        except (ConnectionError, OSError):
+            state["is_reset"] = True
+        state["is_closed"] = True
+        sent.put_nowait(None)
+
+    async def forward_back(self, from_server, writer):
+        try:
+            while chunk := await from_server.read(65536):
+                writer.write(chunk)
+        except (ConnectionError, OSError):
+            pass
+
+
 # Databases ---------------------------------------------------------------------------------------
 
 
@@ -462,7 +551,7 @@
 address = "{self.world.store.address}"
 
 [promotion]
-address = "{self.world.promotions.address}"
+address = "{self.world.promotion_path.address}"
 
 [limits]
 stop_grace_s = 6
@@ -512,6 +601,7 @@
         self.limits = options.get("limits", {})
         self.store = Store(record)
         self.promotions = Promotions(self)
+        self.promotion_path = CuttablePath(record, self.promotions.port)
         self.databases = {}
         self.proxies = []
         self.version = 7
@@ -546,6 +636,7 @@
     async def start(self):
         await self.store.start()
         await self.promotions.start()
+        await self.promotion_path.start()
         for database in self.databases.values():
             await database.start()
             await database.check_in()
@@ -577,7 +668,7 @@
             await asyncio.sleep(0.01)
 
     def take_over(self, database):
-        if not database.is_running:
+        if not database.is_running or database.role == "primary":
             return
         database.term = 1 + max(d.term for d in self.databases.values())
         for other in self.databases.values():
