--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -748,6 +748,7 @@
         self.pause_s = pause_s
         self.database = database
         self.word = word
+        self.sent = []  # Times.
         self.acknowledged = []  # (time, identifier)
         self.count = 0
         self.task = asyncio.ensure_future(self.run())
@@ -761,6 +762,7 @@
                 await caller.connect(self.database)
                 while True:
                     self.count += 1
+                    self.sent.append(now())
                     text = f"{self.word} {self.name}-{self.count}"
                     if self.word == "WRITE":
                         text += f" data-{self.count}"
