--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -698,6 +698,8 @@
 class Caller:
     """A caller's session."""
 
+    writers = []
+
     def __init__(self, world, proxy, name):
         self.world = world
         self.proxy = proxy
@@ -705,15 +707,18 @@
         self.count = 0
         self.reader = None
         self.writer = None
+        self.last = None  # The last message that was received.
 
     async def connect(self, database="db-primary", key="key-1"):
         self.reader, self.writer = await asyncio.open_connection(HOST, self.proxy.callers, limit=2 ** 21)
+        Caller.writers.append(self.writer)
         self.writer.write(f"CONNECT {database} {key}\r\n".encode())
         return await self.line()
 
     async def line(self, limit_s=5):
         raw = await asyncio.wait_for(self.reader.readuntil(b"\r\n"), limit_s)
-        return raw.decode().rstrip("\r\n")
+        self.last = raw.decode().rstrip("\r\n")
+        return self.last
 
     async def query(self, text, limit_s=5):
         """Returns the identifier, the rows, the final message and the state of the session."""
@@ -791,6 +796,8 @@
         try:
             return await asyncio.wait_for(scenario(record, has_trouble, world_holder), 110)
         finally:
+            for writer in Caller.writers:
+                writer.close()
             for world in world_holder:
                 world.stop()
                 for proxy in world.proxies:
