A database has taken over only when it leads a new term

Cause: a leader that had ordered a database to take over asked for its status, and took the role "primary" for the end of the promotion. A superseded primary keeps that role until it steps down. Ruled out: the fence (nobody used the old primary while another one led) and the positions (both candidates had received the same).

Change: the record of a group holds the term that its primary leads and, while a candidate is ordered, the highest term known before. The candidate has taken over once it leads a higher one. If it leads the newest term already, the order has no effect, and counts as done 1.5 s after it was accepted. Related paths, also by term: a superseded primary is not restored, and any other database is preferred to it as a candidate.

Why it works: the platform gives each promotion the next term, so a higher term than every known one can only come from this order, or from one that the same record names.

With the guards off, ASupersededPrimaryIsUsedOnlyAfterItLeadsANewTerm and AReplicaIsPreferredToASupersededPrimary fail, and ASupersededPrimaryIsNotRestored aborts.

--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -272,6 +272,7 @@
         record.phase = report.phase;
         record.candidate = report.candidate;
         record.replaces = report.replaces;
+        record.term = report.term;
         record.isUnverified = report.isUnverified;
         record.writer = message.node;
         const auto *known = view_.findPrimary(report.group);
--- a/Libraries/Fleet/FleetEngineHeartbeat.cpp
+++ b/Libraries/Fleet/FleetEngineHeartbeat.cpp
@@ -195,6 +195,7 @@
         report.phase = primary->record.phase;
         report.candidate = primary->record.candidate;
         report.replaces = primary->record.replaces;
+        report.term = primary->record.term;
         report.isUnverified = primary->record.isUnverified;
         report.adopted = state.released;
         report.health = state.health;
--- a/Libraries/Fleet/Heartbeat.h
+++ b/Libraries/Fleet/Heartbeat.h
@@ -24,6 +24,7 @@
     PrimaryPhase phase = PrimaryPhase::Active;
     Core::DatabaseName candidate; ///< In phase Ordered.
     Revision replaces = 0;        ///< As in PrimaryRecord.
+    Core::Term term = 0;          ///< As in PrimaryRecord.
     bool isUnverified = false;    ///< As in PrimaryRecord.
     Revision adopted = 0;         ///< The sender no longer uses a primary of an older record.
     Health health = Health::Unknown;
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -27,6 +27,9 @@
 /// After the store came back from a copy, an order that was sent before has taken effect within
 /// this: the timeout of the call and the time that a database takes.
 constexpr Core::Duration eraSettleDelay = 3'000_ms;
+/// An order has taken effect within this after it was accepted, which the platform does within some
+/// hundred milliseconds. An order for the present primary has no effect.
+constexpr Core::Duration takeOverSettleDelay = 1'500_ms;
 /// An accepted order without effect within this is sent again.
 constexpr Core::Duration takeOverTimeout = 4'000_ms;
 
@@ -53,6 +56,8 @@
     , self_(std::move(self))
     , replaces_(record_.phase == PrimaryPhase::Active ? revision : record_.replaces)
     , candidate_(record_.phase == PrimaryPhase::Ordered ? record_.candidate : Core::DatabaseName())
+    , newestTerm_(record_.term)
+    , orderedAboveTerm_(record_.phase == PrimaryPhase::Ordered ? record_.term : 0)
     , attempt_(record_.attempt)
 { }
 
@@ -124,19 +129,41 @@
 std::optional<Core::DatabaseName> PromotionPlan::bestCandidate(const PlanInputs &inputs) const
 {
     std::optional<Core::DatabaseName> best;
-    Core::LogMark highest;
     for (const auto &database : inputs.candidates) {
         const auto status = statuses_.find(database);
         if (status == statuses_.end() || notRunning_.contains(database))
             continue;
-        if (best && status->second.received <= highest)
+        if (best && !isPreferred(status->second, statuses_.at(*best)))
             continue;
         best = database;
-        highest = status->second.received;
     }
     return best;
 }
 
+bool PromotionPlan::isSuperseded(const Sessions::DatabaseStatus &status) const
+{
+    return status.role == Sessions::DatabaseRole::Primary && status.term < newestTerm_;
+}
+
+bool PromotionPlan::isPreferred(const Sessions::DatabaseStatus &status,
+                                const Sessions::DatabaseStatus &other) const
+{
+    // A superseded primary may have commits that the group has discarded.
+    if (isSuperseded(status) != isSuperseded(other))
+        return isSuperseded(other);
+    return status.received > other.received;
+}
+
+bool PromotionPlan::hasTakenOver(const Sessions::DatabaseStatus &status, Core::Instant now) const
+{
+    if (status.role != Sessions::DatabaseRole::Primary || isSuperseded(status))
+        return false;
+    if (orderedAboveTerm_ != 0 && status.term > orderedAboveTerm_)
+        return true;
+    // It may have been the primary already. Otherwise an accepted order would have taken effect.
+    return step_ == Step::Verify && now >= acceptedAt_ + takeOverSettleDelay;
+}
+
 bool PromotionPlan::mayOrder(const PlanInputs &inputs, Core::Instant now) const
 {
     const auto candidate = bestCandidate(inputs);
@@ -171,7 +198,7 @@
 {
     const auto status = statuses_.find(record_.database);
     return inputs.canRestoreOldPrimary && status != statuses_.end()
-        && status->second.role == Sessions::DatabaseRole::Primary;
+        && status->second.role == Sessions::DatabaseRole::Primary && !isSuperseded(status->second);
 }
 
 std::vector<Action> PromotionPlan::choose(const PlanInputs &inputs, CallId &nextCall,
@@ -189,6 +216,8 @@
         return queryStatuses(inputs, now);
     }
     candidate_ = *bestCandidate(inputs);
+    newestTerm_ = std::max(newestTerm_, inputs.highestMark.term);
+    orderedAboveTerm_ = newestTerm_;
     step_ = Step::Announce;
     return announce(nextCall, now);
 }
@@ -203,11 +232,15 @@
     PrimaryRecord changed = record_;
     changed.phase = phase;
     changed.replaces = phase == PrimaryPhase::Active ? 0 : replaces_;
-    if (phase == PrimaryPhase::Ordered)
+    if (phase == PrimaryPhase::Ordered) {
         changed.candidate = candidate_;
+        changed.term = orderedAboveTerm_;
+    }
     if (phase == PrimaryPhase::Active) {
         changed.database = candidate_;
         changed.candidate = Core::DatabaseName();
+        const auto status = statuses_.find(candidate_);
+        changed.term = status != statuses_.end() ? status->second.term : record_.term;
     }
     if (phase != PrimaryPhase::Replacing)
         changed.isUnverified = false;
@@ -285,6 +318,7 @@
     if (outcome == OrderOutcome::Accepted) {
         step_ = Step::Verify;
         callSentAt_ = now;
+        acceptedAt_ = now;
         nextStepAt_ = now + statusQueryInterval;
         return;
     }
@@ -302,8 +336,9 @@
                                    const Sessions::DatabaseStatus &status, Core::Instant now)
 {
     statuses_[database] = status;
+    newestTerm_ = std::max(newestTerm_, status.term);
     const bool isOrdered = step_ == Step::Verify || step_ == Step::Order;
-    if (!isOrdered || database != candidate_ || status.role != Sessions::DatabaseRole::Primary)
+    if (!isOrdered || database != candidate_ || !hasTakenOver(status, now))
         return;
     call_ = 0;
     step_ = Step::Publish;
@@ -315,6 +350,8 @@
     return {name,
             {{"group", record_.group.value()},
              {"old", record_.database.value()},
+             {"candidate", candidate_.value()},
+             {"newest_term", std::to_string(newestTerm_)},
              {"reason", toString(reason_)},
              {"revision", std::to_string(revision_)}}};
 }
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -56,7 +56,9 @@
 /// 2. Every member has stopped using the old primary, or its lease has expired.
 /// 3. The record names the candidate with the longest log, which is then ordered to take over.
 ///    Another candidate is chosen only if the order was answered with NotRunning.
-/// 4. Once the candidate reports that it is the primary, the record names it as Active.
+/// 4. Once the candidate reports that it leads a new term, the record names it as Active. A
+/// database
+///    that reports the role alone may lead a superseded term that it has not stepped down from.
 ///
 /// If the old primary answers before an order was sent, the record names it as Active again. After
 /// a partition it is given time for that: the proxies on its side may have gone on writing to it.
@@ -114,6 +116,13 @@
     std::vector<Action> verify(Core::Instant now);
     std::vector<Action> publish(CallId &nextCall, Core::Instant now);
     std::vector<Action> queryStatuses(const PlanInputs &, Core::Instant now);
+    /// Whether the database still acts as the primary of a term that another one has superseded.
+    [[nodiscard]] bool isSuperseded(const Sessions::DatabaseStatus &) const;
+    /// Whether the candidate's status proves that the order to take over has taken effect.
+    [[nodiscard]] bool hasTakenOver(const Sessions::DatabaseStatus &, Core::Instant now) const;
+    /// Whether a status of the first database is preferred to one of the second for a candidate.
+    [[nodiscard]] bool isPreferred(const Sessions::DatabaseStatus &,
+                                   const Sessions::DatabaseStatus &) const;
     [[nodiscard]] bool mayOrder(const PlanInputs &, Core::Instant now) const;
     /// Whether promoting this candidate now would discard commits of an old primary that a
     /// partition had hidden and that may soon answer.
@@ -136,13 +145,18 @@
     bool wasPartitioned_ = false;
     Core::Instant statusesQueriedAt_;
     Core::Instant nextStepAt_;
-    Core::Instant retryAt_; ///< No action is taken before this, after a failed call.
+    Core::Instant retryAt_;    ///< No action is taken before this, after a failed call.
+    Core::Instant acceptedAt_; ///< When the last order was accepted.
     std::map<Core::DatabaseName, Sessions::DatabaseStatus> statuses_;
     /// Candidates that answered an order with NotRunning.
     std::set<Core::DatabaseName> notRunning_;
     Revision replaces_; ///< The revision of the record that named the old primary as Active.
     /// Chosen by this plan, or by the plan of an earlier leader that it resumes.
     Core::DatabaseName candidate_;
+    /// The highest term that any database of the group is known to have reported.
+    Core::Term newestTerm_ = 0;
+    /// The candidate has taken over if it leads a higher term; 0 if not known.
+    Core::Term orderedAboveTerm_ = 0;
     std::uint64_t attempt_ = 0; ///< Of the last write; see PrimaryRecord.
 };
 
--- a/Libraries/Fleet/Records.cpp
+++ b/Libraries/Fleet/Records.cpp
@@ -65,6 +65,8 @@
                         {"attempt", record.attempt}};
     if (record.era)
         object["era"] = *record.era;
+    if (record.term != 0)
+        object["term"] = record.term;
     if (record.isUnverified)
         object["unverified"] = true;
     return object;
@@ -116,6 +118,9 @@
     record.attempt = object.at("attempt").to_number<std::uint64_t>();
     if (const auto *era = object.if_contains("era"))
         record.era = era->to_number<Era>();
+    // Absent from records of earlier versions.
+    if (const auto *term = object.if_contains("term"))
+        record.term = term->to_number<Core::Term>();
     if (const auto *unverified = object.if_contains("unverified"))
         record.isUnverified = unverified->as_bool();
     return record;
--- a/Libraries/Fleet/Records.h
+++ b/Libraries/Fleet/Records.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <Core/Incarnation.h>
+#include <Core/LogMark.h>
 #include <Core/Name.h>
 #include <Core/Result.h>
 #include <Fleet/ProtocolLevel.h>
@@ -68,6 +69,10 @@
     std::uint64_t attempt = 0; ///< Differs between writes of the same writer.
     /// The era of the store as its writer knew it; empty in records of earlier versions.
     std::optional<Era> era;
+    /// In phase Active, the term that the database leads. In phase Ordered, the highest term known
+    /// when the candidate was chosen, so that the candidate leads a higher one once it has taken
+    /// over. 0 if not known, as in the first record of a group.
+    Core::Term term = 0;
     /// Whether the store came back from a copy since the old primary was named, so that another
     /// database may have been ordered to take over without the record showing it. Not with Active.
     bool isUnverified = false;
--- a/Libraries/FleetWire/PeerMessageCodec.cpp
+++ b/Libraries/FleetWire/PeerMessageCodec.cpp
@@ -46,6 +46,7 @@
     primary.set_candidate(report.candidate.value());
     primary.set_replaces(report.replaces);
     primary.set_is_unverified(report.isUnverified);
+    primary.set_term(report.term);
     primary.set_adopted(report.adopted);
     primary.set_health(toWire(report.health));
     primary.set_mark_term(report.mark.term);
@@ -70,6 +71,7 @@
     report.candidate = Core::DatabaseName(primary.candidate());
     report.replaces = primary.replaces();
     report.isUnverified = primary.is_unverified();
+    report.term = primary.term();
     report.adopted = primary.adopted();
     report.health = fromWire(primary.health());
     report.mark = {primary.mark_term(), primary.mark_position()};
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Advances the time until the condition holds, but no further than \a limit.
+    void advanceUntil(const std::function<bool()> &condition, Core::Duration limit)
+    {
+        const Core::Instant end = now + limit;
+        while (!condition() && now < end)
+            advanceTime(Core::Duration(10));
+    }
+
     /// The store is replaced by a copy of what it held some time ago.
     void restoreFromCopy(Core::Duration age)
     {
@@ -96,6 +104,13 @@
         ++era;
     }
 
+    /// Another database takes over without an order of the fleet.
+    void supersede(Core::DatabaseName database)
+    {
+        primary = std::move(database);
+        ++term_;
+    }
+
     /// Gives the primary's record a newer revision, as if another proxy had written it.
     void rewritePrimaryRecord() { objects_.at(primaryKey(group)).revision = ++revision_; }
 
@@ -138,6 +153,8 @@
     std::set<std::string> cutFromPeers;
     std::set<std::string> paused;
     std::set<std::string> silentDatabases;
+    /// Databases that still report that they lead this term, until they are promoted.
+    std::map<std::string, Core::Term> supersededPrimaries;
     std::vector<OrderPromotion> orders;
     /// Proxies whose lease to another database was still valid when an order was sent.
     std::vector<std::string> fencingViolations;
@@ -316,9 +333,15 @@
         Sessions::DatabaseStatus status;
         status.role = ask.database == primary ? Sessions::DatabaseRole::Primary
                                               : Sessions::DatabaseRole::Replica;
+        status.term = term_;
         // Only the primary has commits of its term.
         status.received = {ask.database == primary ? term_ : 1U,
                            ask.database == Core::DatabaseName("db-3") ? 12U : 11U};
+        const auto superseded = supersededPrimaries.find(ask.database.value());
+        if (superseded != supersededPrimaries.end() && ask.database != primary) {
+            status.role = Sessions::DatabaseRole::Primary;
+            status.term = superseded->second;
+        }
         proxy.engine->statusAnswered(ask.database, status, now);
     }
 
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -592,6 +592,67 @@
     LONGS_EQUAL(0, four.fencingViolations.size());
 }
 
+/// A superseded primary that had not stepped down acknowledged writes under its old term, because
+/// its role alone was taken for the end of the promotion (docs/incidents/2026-12-05-superseded.md).
+TEST(FleetEngine, ASupersededPrimaryIsUsedOnlyAfterItLeadsANewTerm)
+{
+    failPrimary();
+    fleet.advanceTime(1_s);
+    STRCMP_EQUAL("db-3", fleet.primary.value().c_str());
+    fleet.supersededPrimaries["db-1"] = 1;
+    fleet.silentDatabases = {"db-2", "db-3"};
+    fleet.takeOverTime = 600_ms;
+    fleet.advanceTime(3_s);
+    fleet.staleLeases = 0;
+    fleet.report(Health::Suspect);
+    fleet.advanceTime(5_s);
+    STRCMP_EQUAL("db-1", fleet.orders.back().database.value().c_str());
+    LONGS_EQUAL(0, fleet.staleLeases);
+    LONGS_EQUAL(3, fleet.leaseHolders().at("db-1").size());
+}
+
+/// As above, where another database can take over: the superseded primary may have commits that the
+/// group has discarded.
+TEST(FleetEngine, AReplicaIsPreferredToASupersededPrimary)
+{
+    failPrimary();
+    fleet.advanceTime(1_s);
+    fleet.supersededPrimaries["db-1"] = 1;
+    fleet.silentDatabases = {"db-3"};
+    fleet.takeOverTime = 600_ms;
+    fleet.advanceTime(3_s);
+    fleet.staleLeases = 0;
+    fleet.report(Health::Suspect);
+    fleet.advanceTime(5_s);
+    STRCMP_EQUAL("db-2", fleet.orders.back().database.value().c_str());
+    LONGS_EQUAL(0, fleet.staleLeases);
+}
+
+/// An old primary that another one superseded unnoticed must not be restored.
+TEST(FleetEngine, ASupersededPrimaryIsNotRestored)
+{
+    fleet.supersededPrimaries["db-1"] = 1;
+    fleet.supersede(Core::DatabaseName("db-2"));
+    fleet.report(Health::Suspect);
+    fleet.advanceTime(5_s);
+    LONGS_EQUAL(3, fleet.leaseHolders().at("db-2").size());
+}
+
+/// The leader that sent the order is lost before the database has taken over. Its successor knows
+/// from the record which term the database has to lead, and doesn't have to wait.
+TEST(FleetEngine, ANewLeaderRecognisesTheTakeOverByItsTerm)
+{
+    fleet.takeOverTime = 600_ms;
+    failPrimary();
+    fleet.advanceUntil([&] { return !fleet.orders.empty(); }, 2_s);
+    fleet.paused.insert(fleet.leader());
+    fleet.advanceUntil([&] { return fleet.orders.size() == 2; }, 20_s);
+    LONGS_EQUAL(2, fleet.orders.size());
+    fleet.advanceTime(300_ms);
+    LONGS_EQUAL(2, fleet.leaseHolders().at("db-3").size());
+    LONGS_EQUAL(0, fleet.staleLeases);
+}
+
 TEST(FleetEngine, ALeaderWithAnOutdatedRecordDoesNotWriteWithoutDelay)
 {
     const std::string leader = fleet.leader();
