No database is promoted before the acknowledged commits are known

Cause: syncReplicas was read and used nowhere. After 300 ms the leader promoted the best of the databases that had answered; the one with the commits was busy and had not. Ruled out: the comparison of positions.

Change: a commit is acknowledged once as many replicas as the service asks for have it. So an order is sent only when fewer than that number are unknown, for the longest log of the others, and by statuses that were asked for after the fence. If the old primary still answers, its position proves the same. Related path: a draining replica with the last commits is promoted and then replaced; it was no candidate. Without a configuration no order is sent.

It costs time: a failover waits for a busy replica, and for one that has ended until it leaves the directory.

With the guards off, WithSynchronousReplicasNoneIsPromotedBeforeAllHaveAnswered, AStatusFromBeforeTheFenceDoesNotCount, ADrainingReplicaWithTheLastCommitsIsPromotedAndReplaced and NoDatabaseIsPromotedBeforeTheConfigurationIsKnown fail.

--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -196,6 +196,11 @@
     nextReviewAt_ = now;
 }
 
+void FleetEngine::setSynchronousReplicas(std::map<Core::GroupName, std::uint32_t> replicas)
+{
+    synchronousReplicas_ = std::move(replicas);
+}
+
 void FleetEngine::evacuationsChanged(std::span<const Core::DataCentreName> dataCentres,
                                      Core::Instant now)
 {
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -49,6 +49,10 @@
     void heartbeat(const Heartbeat &, Core::Instant now);
     void directoryChanged(std::span<const Sessions::DatabaseEntry>, Core::Instant now);
 
+    /// Sets the number of replicas of each group that have a commit when it is acknowledged; 0 for
+    /// groups that are not named. No database is ordered to take over before this is known.
+    void setSynchronousReplicas(std::map<Core::GroupName, std::uint32_t>);
+
     /// Sets the data centres that the operators are evacuating.
     void evacuationsChanged(std::span<const Core::DataCentreName>, Core::Instant now);
 
@@ -180,6 +184,9 @@
                                      Core::Instant now) const;
     [[nodiscard]] PlanInputs planInputs(const Core::GroupName &, const GroupState &,
                                         const PromotionPlan &, Core::Instant now) const;
+    [[nodiscard]] std::optional<std::uint32_t> synchronousReplicas(const Core::GroupName &) const;
+    /// Adds the databases that may have received commits of the old primary.
+    void addReceivers(PlanInputs &, const GroupState &, const PromotionPlan &) const;
     [[nodiscard]] bool hasAdopted(const MemberRecord &, const Core::GroupName &, Revision) const;
 
     void sendHeartbeats(Core::Instant now);
@@ -246,6 +253,8 @@
     std::map<Core::NodeName, Core::Instant> memberSince_; ///< When the member was first seen.
     std::map<Core::NodeName, Retirement> retirements_;
     std::set<Core::DataCentreName> evacuated_; ///< The data centres being evacuated.
+    /// Empty until the configuration is known.
+    std::optional<std::map<Core::GroupName, std::uint32_t>> synchronousReplicas_;
     /// When writeFirstRecord() last wrote a group's record; retried after heartbeatInterval.
     std::map<Core::GroupName, Core::Instant> firstRecordWrittenAt_;
     bool isStoreLost_ = false;
--- a/Libraries/Fleet/FleetEngineLeadership.cpp
+++ b/Libraries/Fleet/FleetEngineLeadership.cpp
@@ -448,6 +448,26 @@
     return report != peer->lastHeartbeat.primaries.end() && report->adopted >= revision;
 }
 
+std::optional<std::uint32_t> FleetEngine::synchronousReplicas(const Core::GroupName &group) const
+{
+    if (!synchronousReplicas_)
+        return {};
+    const auto found = synchronousReplicas_->find(group);
+    return found == synchronousReplicas_->end() ? 0 : found->second;
+}
+
+void FleetEngine::addReceivers(PlanInputs &inputs, const GroupState &state,
+                               const PromotionPlan &plan) const
+{
+    for (const auto &entry : state.databases) {
+        if (entry.id == plan.oldPrimary() && !plan.isUnverified())
+            continue;
+        inputs.receivers.push_back(entry.id);
+        if (entry.availability == Sessions::DatabaseAvailability::Draining && !isEvacuated(entry))
+            inputs.drainingReceivers.push_back(entry.id);
+    }
+}
+
 PlanInputs FleetEngine::planInputs(const Core::GroupName &group, const GroupState &state,
                                    const PromotionPlan &plan, Core::Instant now) const
 {
@@ -475,6 +495,8 @@
     }
     if (inputs.candidates.empty() && lastResort)
         inputs.candidates.push_back(lastResort->id);
+    inputs.synchronousReplicas = synchronousReplicas(group);
+    addReceivers(inputs, state, plan);
     for (const auto &[node, peer] : peers_.all()) {
         const auto report =
             std::ranges::find(peer.lastHeartbeat.primaries, group, &PrimaryReport::group);
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -1,6 +1,7 @@
 #include <Fleet/PromotionPlan.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Chervilpin::Fleet {
 
@@ -89,6 +90,7 @@
             return order(nextCall, now);
         }
         step_ = Step::Choose;
+        statusesQueriedAt_ = Core::Instant();
         [[fallthrough]];
     case Step::Choose:
         return choose(inputs, nextCall, now);
@@ -121,15 +123,34 @@
     std::vector<Action> actions;
     for (const auto &database : inputs.candidates)
         actions.emplace_back(QueryStatus{record_.group, database});
-    if (inputs.canRestoreOldPrimary)
+    if (inputs.synchronousReplicas != 0U) {
+        for (const auto &database : inputs.receivers) {
+            if (std::ranges::find(inputs.candidates, database) == inputs.candidates.end())
+                actions.emplace_back(QueryStatus{record_.group, database});
+        }
+    }
+    if (inputs.canRestoreOldPrimary || inputs.synchronousReplicas != 0U)
         actions.emplace_back(QueryStatus{record_.group, record_.database});
     return actions;
 }
 
 std::optional<Core::DatabaseName> PromotionPlan::bestCandidate(const PlanInputs &inputs) const
+{
+    auto best = bestOf(inputs.candidates);
+    if (inputs.synchronousReplicas == 0U)
+        return best;
+    // A draining database is promoted, and soon replaced, if only it has the last commits.
+    const auto draining = bestOf(inputs.drainingReceivers);
+    const bool isDrainingBetter =
+        draining && (!best || isPreferred(statuses_.at(*draining), statuses_.at(*best)));
+    return isDrainingBetter ? draining : best;
+}
+
+std::optional<Core::DatabaseName>
+PromotionPlan::bestOf(std::span<const Core::DatabaseName> databases) const
 {
     std::optional<Core::DatabaseName> best;
-    for (const auto &database : inputs.candidates) {
+    for (const auto &database : databases) {
         const auto status = statuses_.find(database);
         if (status == statuses_.end() || notRunning_.contains(database))
             continue;
@@ -161,13 +182,43 @@
     if (orderedAboveTerm_ != 0 && status.term > orderedAboveTerm_)
         return true;
     // It may have been the primary already. Otherwise an accepted order would have taken effect.
-    return step_ == Step::Verify && now >= acceptedAt_ + takeOverSettleDelay;
+    return step_ == Step::Verify && now >= acceptedAt_ + takeOverSettleDelay
+        && status.queriedAt >= acceptedAt_;
+}
+
+bool PromotionPlan::isStatusFinal(const Core::DatabaseName &database) const
+{
+    const auto status = statuses_.find(database);
+    return status != statuses_.end() && status->second.queriedAt >= choosingSince_;
+}
+
+bool PromotionPlan::areAcknowledgedCommitsKnown(const PlanInputs &inputs) const
+{
+    if (!inputs.synchronousReplicas)
+        return false;
+    if (*inputs.synchronousReplicas == 0)
+        return true;
+    // The old primary has every commit, if it still answers.
+    const auto candidate = bestCandidate(inputs);
+    if (!isUnverified() && isStatusFinal(record_.database)) {
+        const auto &old = statuses_.at(record_.database);
+        if (old.role == Sessions::DatabaseRole::Primary && !isSuperseded(old)
+            && statuses_.at(*candidate).received >= old.received)
+            return true;
+    }
+    const auto unknown = std::ranges::count_if(
+        inputs.receivers, [&](const auto &database) { return !isStatusFinal(database); });
+    if (std::cmp_greater_equal(unknown, *inputs.synchronousReplicas))
+        return false;
+    // A receiver that can't be promoted may be ahead of those that can.
+    const auto best = bestOf(inputs.receivers);
+    return !best || !isPreferred(statuses_.at(*best), statuses_.at(*candidate));
 }
 
 bool PromotionPlan::mayOrder(const PlanInputs &inputs, Core::Instant now) const
 {
     const auto candidate = bestCandidate(inputs);
-    if (!candidate)
+    if (!candidate || !areAcknowledgedCommitsKnown(inputs))
         return false;
     // A primary that is replaced as planned goes on until its last commits have arrived.
     const bool isCommitsAwaited = reason_ != ReplacementReason::Failed || isUnverified();
@@ -213,7 +264,11 @@
         // All reachable candidates refused the order; one of them may have recovered by now.
         if (!inputs.candidates.empty() && notRunning_.size() >= inputs.candidates.size())
             notRunning_.clear();
-        return queryStatuses(inputs, now);
+        auto actions = queryStatuses(inputs, now);
+        const bool isWaiting = !bestCandidate(inputs) || !areAcknowledgedCommitsKnown(inputs);
+        if (isWaiting && !std::exchange(isWaitLogged_, true))
+            actions.emplace_back(event("promotion_awaits_commits"));
+        return actions;
     }
     candidate_ = *bestCandidate(inputs);
     newestTerm_ = std::max(newestTerm_, inputs.highestMark.term);
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -40,6 +40,13 @@
     /// Whether the old primary is still listed, not draining and not being evacuated, so that it
     /// may stay the primary.
     bool canRestoreOldPrimary = false;
+    /// The number of replicas that have a commit when it is acknowledged; empty while the
+    /// configuration is not known.
+    std::optional<std::uint32_t> synchronousReplicas;
+    /// The databases that may have received commits of the old primary: all listed ones but itself.
+    std::vector<Core::DatabaseName> receivers;
+    /// Those of the receivers that are draining. They go on receiving until they end.
+    std::vector<Core::DatabaseName> drainingReceivers;
     /// The highest log position of the old primary that any proxy has seen.
     Core::LogMark highestMark;
     /// Whether a member whose leases may still be valid is out of the leader's reach, so that the
@@ -55,7 +62,8 @@
 /// 1. The record is set to Replacing. No leases are granted from then on.
 /// 2. Every member has stopped using the old primary, or its lease has expired.
 /// 3. The record names the candidate with the longest log, which is then ordered to take over.
-///    Another candidate is chosen only if the order was answered with NotRunning.
+///    Another candidate is chosen only if the order was answered with NotRunning. If the group has
+///    synchronous replicas, the log has to be known to have every acknowledged commit.
 /// 4. Once the candidate reports that it leads a new term, the record names it as Active. A
 /// database
 ///    that reports the role alone may lead a superseded term that it has not stepped down from.
@@ -124,11 +132,19 @@
     [[nodiscard]] bool isPreferred(const Sessions::DatabaseStatus &,
                                    const Sessions::DatabaseStatus &) const;
     [[nodiscard]] bool mayOrder(const PlanInputs &, Core::Instant now) const;
+    /// Whether the longest known log has every acknowledged commit. An acknowledged commit is on as
+    /// many replicas as the group requires, so fewer than these may be unknown. There has to be a
+    /// candidate.
+    [[nodiscard]] bool areAcknowledgedCommitsKnown(const PlanInputs &) const;
+    /// Whether the database's status is known as of a time at which nobody used the old primary.
+    [[nodiscard]] bool isStatusFinal(const Core::DatabaseName &) const;
     /// Whether promoting this candidate now would discard commits of an old primary that a
     /// partition had hidden and that may soon answer.
     [[nodiscard]] bool isOldPrimaryAwaited(const PlanInputs &, const Core::DatabaseName &candidate,
                                            Core::Instant now) const;
     [[nodiscard]] std::optional<Core::DatabaseName> bestCandidate(const PlanInputs &) const;
+    [[nodiscard]] std::optional<Core::DatabaseName>
+        bestOf(std::span<const Core::DatabaseName>) const;
     [[nodiscard]] Event event(const char *name) const;
 
     PrimaryRecord record_; ///< The old primary.
@@ -158,6 +174,7 @@
     /// The candidate has taken over if it leads a higher term; 0 if not known.
     Core::Term orderedAboveTerm_ = 0;
     std::uint64_t attempt_ = 0; ///< Of the last write; see PrimaryRecord.
+    bool isWaitLogged_ = false; ///< Whether the wait for acknowledged commits was logged.
 };
 
 } // namespace Chervilpin::Fleet
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -62,8 +62,10 @@
         cleanupReplied(*connection, reply, now);
         break;
     case ReplyPurpose::Status:
-        if (reply.status)
+        if (reply.status) {
+            reply.status->queriedAt = pending.sentAt;
             actions_.emplace_back(ReportStatus{connection->database, *reply.status});
+        }
         release(*connection, now);
         break;
     }
--- a/Libraries/Sessions/Statement.h
+++ b/Libraries/Sessions/Statement.h
@@ -79,8 +79,9 @@
 struct DatabaseStatus
 {
     DatabaseRole role = DatabaseRole::Replica;
-    Core::Term term = 0;    ///< The newest term known to the database.
-    Core::LogMark received; ///< The end of the received log, which may not be fully applied.
+    Core::Term term = 0;     ///< The newest term known to the database.
+    Core::LogMark received;  ///< The end of the received log, which may not be fully applied.
+    Core::Instant queriedAt; ///< When the query was sent; the status is not older.
 };
 
 /// A database's complete reply to one statement.
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -324,6 +324,10 @@
         configurationVersion_ = table->version;
         const Core::Instant now = Core::SteadyClock::now();
         rates_.setLimits(table->teams, now);
+        std::map<Core::GroupName, std::uint32_t> synchronousReplicas;
+        for (const auto &[group, limits] : table->groups)
+            synchronousReplicas[group] = limits.synchronousReplicas;
+        fleet_.setSynchronousReplicas(std::move(synchronousReplicas));
         sessions_.configure(std::make_shared<const Sessions::RoutingTable>(std::move(*table)), now);
         nextEngineSyncAt_ = Core::Instant();
     }
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -55,6 +55,8 @@
         proxy = {};
         proxy.engine = std::make_unique<FleetEngine>(settings, now);
         proxy.engine->directoryChanged(directory, now);
+        if (configuresProxies)
+            proxy.engine->setSynchronousReplicas({});
         list(proxy);
     }
 
@@ -104,6 +106,19 @@
         ++era;
     }
 
+    void changeDirectory(std::vector<Sessions::DatabaseEntry> entries)
+    {
+        directory = std::move(entries);
+        for (auto &[name, proxy] : proxies)
+            proxy.engine->directoryChanged(directory, now);
+    }
+
+    void setSynchronousReplicas(std::uint32_t count)
+    {
+        for (auto &[name, proxy] : proxies)
+            proxy.engine->setSynchronousReplicas({{group, count}});
+    }
+
     /// Another database takes over without an order of the fleet.
     void supersede(Core::DatabaseName database)
     {
@@ -153,12 +168,15 @@
     std::set<std::string> cutFromPeers;
     std::set<std::string> paused;
     std::set<std::string> silentDatabases;
+    /// The ends of logs that differ from the usual ones.
+    std::map<std::string, Core::LogMark> receivedMarks;
     /// Databases that still report that they lead this term, until they are promoted.
     std::map<std::string, Core::Term> supersededPrimaries;
     std::vector<OrderPromotion> orders;
     /// Proxies whose lease to another database was still valid when an order was sent.
     std::vector<std::string> fencingViolations;
     bool areOrdersAnswered = true;
+    bool configuresProxies = true; ///< Whether a proxy knows the configuration when it starts.
     /// Steps of time in which a proxy held a lease to a database that wasn't the primary.
     unsigned staleLeases = 0;
     Core::Duration takeOverTime; ///< From the answer to an order until it takes effect.
@@ -337,6 +355,10 @@
         // Only the primary has commits of its term.
         status.received = {ask.database == primary ? term_ : 1U,
                            ask.database == Core::DatabaseName("db-3") ? 12U : 11U};
+        status.queriedAt = now;
+        const auto received = receivedMarks.find(ask.database.value());
+        if (received != receivedMarks.end())
+            status.received = received->second;
         const auto superseded = supersededPrimaries.find(ask.database.value());
         if (superseded != supersededPrimaries.end() && ask.database != primary) {
             status.role = Sessions::DatabaseRole::Primary;
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -653,6 +653,99 @@
     LONGS_EQUAL(0, fleet.staleLeases);
 }
 
+/// Commits that a busy replica had received were acknowledged for that reason, and lost when
+/// another replica was promoted because it answered first
+/// (docs/incidents/2026-12-05-lost-commits.md).
+TEST(FleetEngine, WithSynchronousReplicasNoneIsPromotedBeforeAllHaveAnswered)
+{
+    fleet.setSynchronousReplicas(1);
+    fleet.silentDatabases.insert("db-3");
+    failPrimary();
+    fleet.advanceTime(10_s);
+    LONGS_EQUAL(0, fleet.orders.size());
+    fleet.silentDatabases.erase("db-3");
+    fleet.advanceTime(200_ms);
+    STRCMP_EQUAL("db-3", fleet.orders.at(0).database.value().c_str());
+}
+
+/// As above; a replica that ended and has left the directory is not waited for.
+TEST(FleetEngine, AReplicaThatIsGoneIsNotAwaited)
+{
+    fleet.setSynchronousReplicas(1);
+    fleet.silentDatabases.insert("db-3");
+    failPrimary();
+    fleet.advanceTime(2_s);
+    fleet.changeDirectory({fleet.directory.at(0), fleet.directory.at(1)});
+    fleet.advanceTime(500_ms);
+    STRCMP_EQUAL("db-2", fleet.orders.at(0).database.value().c_str());
+}
+
+/// As above: the answer of one of three replicas may be missing if each commit is on two of them.
+TEST(FleetEngine, FewerReplicasThanHaveEachCommitMayBeUnknown)
+{
+    auto directory = fleet.directory;
+    directory.push_back(FleetFixture::entry("db-4", Sessions::DatabaseRole::Replica));
+    fleet.changeDirectory(directory);
+    fleet.setSynchronousReplicas(2);
+    fleet.silentDatabases.insert("db-4");
+    failPrimary();
+    fleet.advanceTime(1_s);
+    STRCMP_EQUAL("db-3", fleet.orders.at(0).database.value().c_str());
+}
+
+/// As above: what a replica reported before everybody had stopped using the old primary says
+/// nothing about the commits that were acknowledged since.
+TEST(FleetEngine, AStatusFromBeforeTheFenceDoesNotCount)
+{
+    fleet.setSynchronousReplicas(1);
+    fleet.proxies.at("n2").holdsOldPrimary = true;
+    fleet.receivedMarks = {{"db-2", {1, 10}}, {"db-3", {1, 9}}};
+    failPrimary();
+    fleet.advanceTime(1_s);
+    fleet.receivedMarks = {{"db-2", {1, 10}}, {"db-3", {1, 20}}};
+    fleet.silentDatabases.insert("db-3");
+    auto &held = fleet.proxies.at("n2");
+    held.engine->primaryReleased(FleetFixture::group, held.lease->revision, fleet.now);
+    fleet.advanceTime(2_s);
+    LONGS_EQUAL(0, fleet.orders.size());
+    fleet.silentDatabases.erase("db-3");
+    fleet.advanceTime(500_ms);
+    STRCMP_EQUAL("db-3", fleet.orders.at(0).database.value().c_str());
+}
+
+/// As above: a draining replica goes on receiving, and may be the only one with the last commits.
+TEST(FleetEngine, ADrainingReplicaWithTheLastCommitsIsPromotedAndReplaced)
+{
+    fleet.setSynchronousReplicas(1);
+    auto directory = fleet.directory;
+    directory.at(2).availability = Sessions::DatabaseAvailability::Draining;
+    fleet.changeDirectory(directory);
+    failPrimary();
+    fleet.advanceUntil([&] { return !fleet.orders.empty(); }, 2_s);
+    fleet.receivedMarks["db-2"] = {2, 12};
+    fleet.advanceTime(2_s);
+    LONGS_EQUAL(2, fleet.orders.size());
+    STRCMP_EQUAL("db-3", fleet.orders.at(0).database.value().c_str());
+    STRCMP_EQUAL("db-2", fleet.orders.at(1).database.value().c_str());
+}
+
+/// As above: without the configuration it isn't known how many replicas have each commit.
+TEST(FleetEngine, NoDatabaseIsPromotedBeforeTheConfigurationIsKnown)
+{
+    FleetFixture restarted{1};
+    restarted.proxies.at("n1").engine = nullptr;
+    restarted.configuresProxies = false;
+    restarted.start("n1");
+    restarted.advanceTime(20_s);
+    restarted.silentDatabases.insert("db-1");
+    restarted.report(Health::Suspect);
+    restarted.advanceTime(20_s);
+    LONGS_EQUAL(0, restarted.orders.size());
+    restarted.setSynchronousReplicas(0);
+    restarted.advanceTime(1_s);
+    LONGS_EQUAL(1, restarted.orders.size());
+}
+
 TEST(FleetEngine, ALeaderWithAnOutdatedRecordDoesNotWriteWithoutDelay)
 {
     const std::string leader = fleet.leader();
