A request that was given up is not delivered later, and orders don't overtake each other

Cause: the HTTP client closed the connection of a call that had timed out. A closed connection delivers what was written to it, here after a cut. Ruled out: two leaders; one leader had sent both orders.

Change: connections of the client are reset. For orders the system also gives up what isn't acknowledged within the timeout, so that it sends nothing for a suspended or ended process, and nothing is written after the deadline on the boot-time clock. Related paths that could bring a lower token after a higher one: an order ends within 2 s of the request for its token, and the next one, of any group, waits for it; a token that was answered after more than 1.2 s is not used; a leader waits for the orders of the one before, also of its own earlier incarnation; a leader that leaves while an order is on its way keeps its record, so that its successor waits. A failed connection to a database or a pooler is reset as well.

Open: a VM that is suspended as a whole with an order in its system's queue.

--- a/Libraries/Fleet/Actions.h
+++ b/Libraries/Fleet/Actions.h
@@ -43,6 +43,9 @@
     Core::GroupName group;
     Core::DatabaseName database;
     Revision token = 0; ///< Fencing token: the revision of the leader's record, just written.
+    /// When the order is given up. No part of it may reach the platform later, since another order
+    /// with a higher token may have been sent.
+    Core::Instant endsBy;
 };
 
 /// Queries the status of a database. Answers may come in any order; failed queries are not retried.
--- a/Libraries/Fleet/FleetEngine.cpp
+++ b/Libraries/Fleet/FleetEngine.cpp
@@ -358,6 +358,7 @@
 
 void FleetEngine::orderEnded(CallId call, OrderOutcome outcome, Core::Instant now)
 {
+    ordersInFlight_.erase(call);
     for (auto &[group, plan] : plans_)
         plan.orderEnded(call, outcome, now);
     nextReviewAt_ = now;
@@ -378,8 +379,10 @@
     const auto *self = view_.findMember(self_.node);
     if (self && self->record.incarnation == self_.incarnation)
         actions_.emplace_back(DeleteRecord{memberKey(self_.node), self->revision});
+    orders_.clear();
     const auto &leader = view_.leader();
-    if (isLeader())
+    // While an order is on its way, a successor has to wait, which it does not if nobody leads.
+    if (isLeader() && ordersInFlight_.empty())
         actions_.emplace_back(DeleteRecord{leaderKey(), leader->revision});
 }
 
--- a/Libraries/Fleet/FleetEngine.h
+++ b/Libraries/Fleet/FleetEngine.h
@@ -150,6 +150,7 @@
     void reviewLeadership(Core::Instant now);
     void claimLeadership(Core::Instant now);
     void queueOrder(OrderPromotion, Core::Instant now);
+    void claimForOrders(Core::Instant now);
     void sendOrders(WriteOutcome, Revision, Core::Instant now);
     [[nodiscard]] bool isLeaderGone(Core::Instant now) const;
     [[nodiscard]] std::size_t successionRank() const;
@@ -232,7 +233,11 @@
     CallId registration_ = 0;         ///< The unanswered call, or 0.
     CallId leaderClaim_ = 0;
     std::vector<OrderPromotion> orders_; ///< To be sent once leadership is confirmed.
-    Core::Instant ordersAllowedFrom_;    ///< Orders of the previous leader have ended by then.
+    /// Orders that were sent and have not ended. The next ones wait for them: orders that are on
+    /// their way together may arrive in any order, and a token must not follow a higher one.
+    std::set<CallId> ordersInFlight_;
+    Core::Instant leaderClaimSentAt_; ///< When the last write of the leader's record was sent.
+    Core::Instant ordersAllowedFrom_; ///< Orders of the previous leader have ended by then.
     std::uint64_t leaderAttempt_ = 0;
     Core::NodeName lastLeader_;
     Core::Instant nextClaimAt_; ///< When leadership is claimed next; the epoch if no claim is due.
--- a/Libraries/Fleet/FleetEngineLeadership.cpp
+++ b/Libraries/Fleet/FleetEngineLeadership.cpp
@@ -142,10 +142,11 @@
     const auto &leader = view_.leader();
     const bool isTakeover = leader
         && (leader->record.node != self_.node || leader->record.incarnation != self_.incarnation);
-    // An earlier incarnation of this process can't send orders any more, so no delay is needed.
-    if (isTakeover && leader->record.node != self_.node)
+    // An order of an earlier incarnation of this process may still be on its way as well.
+    if (isTakeover)
         ordersAllowedFrom_ = now + promotionOrderTimeout;
     leaderClaim_ = nextCall_++;
+    leaderClaimSentAt_ = now;
     nextClaimAt_ = now + heartbeatInterval;
     write(leaderClaim_, LeaderRecord{self_.node, self_.incarnation, ++leaderAttempt_},
           leader ? leader->revision : 0);
@@ -155,9 +156,15 @@
 {
     std::erase_if(orders_, [&](const auto &other) { return other.group == promotion.group; });
     orders_.push_back(std::move(promotion));
-    // The leader record is written again for each order. A successful write proves that no other
+    claimForOrders(now);
+}
+
+void FleetEngine::claimForOrders(Core::Instant now)
+{
+    // The leader record is written again for the orders. A successful write proves that no other
     // proxy leads, and its revision is a fencing token above all earlier ones.
-    if (leaderClaim_ == 0 && now >= ordersAllowedFrom_)
+    if (!orders_.empty() && leaderClaim_ == 0 && ordersInFlight_.empty()
+        && now >= ordersAllowedFrom_)
         claimLeadership(now);
 }
 
@@ -165,18 +172,29 @@
 {
     if (outcome == WriteOutcome::Done)
         view_.recordWritten(LeaderRecord{self_.node, self_.incarnation, leaderAttempt_}, revision);
+    // Another proxy may lead since, and may have sent an order with a higher token.
+    if (outcome == WriteOutcome::Done && now > leaderClaimSentAt_ + maximumTokenAge) {
+        log("promotion_token_too_old",
+            {{"token", std::to_string(revision)},
+             {"age_ms", std::to_string((now - leaderClaimSentAt_).milliseconds())}});
+        return;
+    }
     for (auto &promotion : std::exchange(orders_, {})) {
         const auto plan = plans_.find(promotion.group);
+        if (plan == plans_.end() || !plan->second.isAwaiting(promotion.id))
+            continue;
         if (outcome != WriteOutcome::Done) {
-            if (plan != plans_.end())
-                plan->second.orderEnded(promotion.id, OrderOutcome::Unknown, now);
+            plan->second.orderEnded(promotion.id, OrderOutcome::Unknown, now);
             continue;
         }
         promotion.token = revision;
+        promotion.endsBy = leaderClaimSentAt_ + promotionOrderTimeout;
+        ordersInFlight_.insert(promotion.id);
         log("promotion_order",
             {{"group", promotion.group.value()},
              {"candidate", promotion.database.value()},
-             {"token", std::to_string(revision)}});
+             {"token", std::to_string(revision)},
+             {"token_age_ms", std::to_string((now - leaderClaimSentAt_).milliseconds())}});
         actions_.emplace_back(std::move(promotion));
     }
     // Another proxy leads; the records will show which one.
@@ -187,8 +205,7 @@
 void FleetEngine::actAsLeader(Core::Instant now)
 {
     retireSilentMembers(now);
-    if (!orders_.empty() && leaderClaim_ == 0 && now >= ordersAllowedFrom_)
-        claimLeadership(now);
+    claimForOrders(now);
     for (auto &[group, state] : groups_)
         reviewGroup(group, state, now);
 }
--- a/Libraries/Fleet/PromotionPlan.cpp
+++ b/Libraries/Fleet/PromotionPlan.cpp
@@ -23,7 +23,7 @@
 constexpr Core::Duration oldPrimaryTimeout = 1'500_ms;
 /// Delay before a failed call is retried.
 constexpr Core::Duration retryInterval = 250_ms;
-/// A call that wasn't answered within this is made again.
+/// A write that wasn't answered within this is made again.
 constexpr Core::Duration callTimeout = 1'500_ms;
 /// After the store came back from a copy, an order that was sent before has taken effect within
 /// this: the timeout of the call and the time that a database takes.
@@ -66,7 +66,10 @@
                                            Core::Instant now)
 {
     nextStepAt_ = now + statusQueryInterval;
-    if (now < retryAt_ || (call_ != 0 && now < callSentAt_ + callTimeout))
+    // An order may wait for earlier ones before it is sent, and always ends.
+    const bool isCallAwaited =
+        call_ != 0 && (step_ == Step::Order || now < callSentAt_ + callTimeout);
+    if (now < retryAt_ || isCallAwaited)
         return {};
     call_ = 0;
     switch (step_) {
@@ -311,7 +314,7 @@
 {
     call_ = nextCall++;
     callSentAt_ = now;
-    return {OrderPromotion{call_, record_.group, candidate_, 0}};
+    return {OrderPromotion{call_, record_.group, candidate_, 0, {}}};
 }
 
 std::vector<Action> PromotionPlan::verify(Core::Instant now)
--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -79,6 +79,8 @@
     std::vector<Action> advance(const PlanInputs &, CallId &nextCall, Core::Instant now);
     void writeEnded(CallId, WriteOutcome, Revision, Core::Instant now);
     void orderEnded(CallId, OrderOutcome, Core::Instant now);
+    /// Whether this call was not answered yet.
+    [[nodiscard]] bool isAwaiting(CallId call) const { return call_ == call; }
     void statusAnswered(const Core::DatabaseName &, const Sessions::DatabaseStatus &,
                         Core::Instant now);
 
--- a/Libraries/Fleet/Timing.h
+++ b/Libraries/Fleet/Timing.h
@@ -66,9 +66,11 @@
 /// Candidates for the leadership claim it one after the other at this interval, those with the
 /// highest capacity first.
 constexpr Core::Duration successionInterval{150};
-/// An order sent by the previous leader just before it lost the leadership has ended after this:
-/// the timeout of the call and some network delay.
-constexpr Core::Duration promotionOrderTimeout{1'500};
+/// An order has ended within this after the leader requested its token, by a write of the leader's
+/// record. The orders of a previous leader, which wrote the record before, have then ended as well.
+constexpr Core::Duration promotionOrderTimeout{2'000};
+/// A token is not used if the store took longer than this to answer. Leaves time for the order.
+constexpr Core::Duration maximumTokenAge{1'200};
 /// A draining primary is used for at most this long while a silent member still holds a lease to
 /// it. A draining database serves for 7 s or more, and replacing it takes a second.
 constexpr Core::Duration drainingPrimaryTimeout{4'000};
--- a/Libraries/Http/Client.cpp
+++ b/Libraries/Http/Client.cpp
@@ -1,5 +1,7 @@
 #include <Http/Client.h>
 
+#include <Core/SteadyClock.h>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -8,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
+#include <netinet/tcp.h>
 #include <optional>
 #include <vector>
 
@@ -27,13 +30,16 @@
 
 struct Client::State
 {
-    State(boost::asio::io_context &asioContext, boost::asio::ip::tcp::endpoint serverEndpoint)
+    State(boost::asio::io_context &asioContext, boost::asio::ip::tcp::endpoint serverEndpoint,
+          Unacknowledged policy)
         : context(asioContext)
         , endpoint(std::move(serverEndpoint))
+        , unacknowledged(policy)
     { }
 
     boost::asio::io_context &context;
     boost::asio::ip::tcp::endpoint endpoint;
+    Unacknowledged unacknowledged;
     std::vector<std::unique_ptr<beast::tcp_stream>> idle;
 };
 
@@ -48,9 +54,12 @@
     using Distrust = std::function<void()>;
 
     Exchange(std::unique_ptr<beast::tcp_stream> stream, Request request, Core::Duration timeout,
-             Client::Completion completion, Release release, Distrust distrust)
+             Client::Unacknowledged unacknowledged, Client::Completion completion, Release release,
+             Distrust distrust)
         : stream_(std::move(stream))
         , timeout_(timeout)
+        , giveUpAt_(Core::SteadyClock::now() + timeout)
+        , unacknowledged_(unacknowledged)
         , completion_(std::move(completion))
         , release_(std::move(release))
         , distrust_(std::move(distrust))
@@ -78,15 +87,34 @@
                 self->fail(ErrorCode::Unavailable, error);
                 return;
             }
-            beast::error_code ignored;
-            self->stream_->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            self->setOptions();
             self->write();
         });
     }
 
 private:
+    void setOptions()
+    {
+        auto &socket = stream_->socket();
+        beast::error_code ignored;
+        socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        // The system would go on sending what a closed connection has not delivered. The stream
+        // closes the socket by itself when the timeout is over, so this is set beforehand.
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        if (unacknowledged_ == Client::Unacknowledged::Retransmit)
+            return;
+        const auto limit = static_cast<unsigned>(timeout_.milliseconds());
+        (void)::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+                           sizeof(limit));
+    }
+
     void write()
     {
+        // The stream's timer doesn't advance while the machine is suspended.
+        if (Core::SteadyClock::now() >= giveUpAt_) {
+            fail(ErrorCode::Unavailable, beast::error::timeout);
+            return;
+        }
         http::async_write(*stream_, message_,
                           [self = shared_from_this()](beast::error_code error, std::size_t) {
                               if (error)
@@ -149,6 +177,8 @@
 
     std::unique_ptr<beast::tcp_stream> stream_;
     Core::Duration timeout_;
+    Core::Instant giveUpAt_; ///< Nothing is sent at or after this.
+    Client::Unacknowledged unacknowledged_;
     http::request<http::string_body> message_;
     beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
@@ -170,8 +200,9 @@
 
 } // namespace
 
-Client::Client(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint endpoint)
-    : state_(std::make_shared<State>(context, std::move(endpoint)))
+Client::Client(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint endpoint,
+               Unacknowledged unacknowledged)
+    : state_(std::make_shared<State>(context, std::move(endpoint), unacknowledged))
 { }
 
 Client::~Client() = default;
@@ -197,7 +228,8 @@
             state->idle.clear();
     };
     std::make_shared<Exchange>(std::move(stream), std::move(request), timeout,
-                               std::move(completion), std::move(release), std::move(distrust))
+                               state_->unacknowledged, std::move(completion), std::move(release),
+                               std::move(distrust))
         ->start(state_->endpoint);
 }
 
--- a/Libraries/Http/Client.h
+++ b/Libraries/Http/Client.h
@@ -15,13 +15,22 @@
 /// An HTTP/1.1 client of one server, with as many kept connections as there are calls at once.
 ///
 /// Errors: Unavailable if the server was never reached (nothing can have been done there), Timeout
-/// if the request may have been received. Runs on one thread.
+/// if the request may have been received. Connections are reset instead of closed, so that no part
+/// of a request that was given up is delivered later. Runs on one thread.
 class Client
 {
 public:
     using Completion = std::function<void(Core::ErrorOr<Response>)>;
 
-    Client(boost::asio::io_context &, boost::asio::ip::tcp::endpoint);
+    /// What becomes of a request that the server's machine doesn't acknowledge while this process
+    /// is suspended or has ended, so that it can't reset the connection in time.
+    enum class Unacknowledged {
+        Retransmit, ///< The system goes on sending it.
+        Discard,    ///< The system resets the connection after the timeout of the call.
+    };
+
+    Client(boost::asio::io_context &, boost::asio::ip::tcp::endpoint,
+           Unacknowledged = Unacknowledged::Retransmit);
     ~Client();
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -51,7 +51,8 @@
 Core::ErrorOr<std::monostate> Node::start()
 {
     store_.emplace(context_, TRY(Http::parseEndpoint(settings_.storeAddress)));
-    promotions_.emplace(context_, TRY(Http::parseEndpoint(settings_.promotionAddress)));
+    promotions_.emplace(context_, TRY(Http::parseEndpoint(settings_.promotionAddress)),
+                        Http::Client::Unacknowledged::Discard);
     readyServer_ = TRY(Http::Server::create(
         context_, settings_.readyListen, Http::ServerLimits(),
         [this](const Http::Request &request, const Http::Responder &responder) {
@@ -261,7 +262,9 @@
 void Node::requestPromotion(const Fleet::OrderPromotion &order)
 {
     metrics_.add("chervilpin_promotion_orders_total", "");
-    promotions_->send(Adapter::makePromotion(order, settings_.node), promotionCallTimeout,
+    const Core::Duration timeout = std::clamp(order.endsBy - Core::SteadyClock::now(),
+                                              Core::Duration(1), promotionCallTimeout);
+    promotions_->send(Adapter::makePromotion(order, settings_.node), timeout,
                       [this, id = order.id](const Core::ErrorOr<Http::Response> &response) {
                           fleet_.orderEnded(id, Adapter::readPromotionResult(response),
                                             Core::SteadyClock::now());
--- a/Services/SessionProxy/NodeTiming.h
+++ b/Services/SessionProxy/NodeTiming.h
@@ -7,7 +7,7 @@
 /// Timeout of a write or delete in the store, which usually answers in 4 ms, but at times a hundred
 /// times slower.
 constexpr Core::Duration storeCallTimeout{1'200};
-/// Timeout of a request to promote a database.
+/// Timeout of a request to promote a database, which may have to end sooner.
 constexpr Core::Duration promotionCallTimeout{1'500};
 /// Interval at which slowly changing state is passed between the engines: the number of members,
 /// the version of the configuration, whether this proxy is in contact with enough of the fleet.
--- a/Services/SessionProxy/StreamConnection.cpp
+++ b/Services/SessionProxy/StreamConnection.cpp
@@ -44,6 +44,7 @@
                                        std::function<void()> opened)
 {
     isConnecting_ = true;
+    isOutgoing_ = true;
     socket_.async_connect(
         endpoint, [self = this->shared_from_this(), opened = std::move(opened)](error_code error) {
             self->isConnecting_ = false;
@@ -162,7 +163,11 @@
         return;
     const auto closed = handlers_.closed;
     const auto batchEnded = handlers_.batchEnded;
-    close();
+    // A statement that was given up must not reach the other side later. A caller gets its answers.
+    if (isOutgoing_)
+        reset();
+    else
+        close();
     closed();
     batchEnded();
 }
--- a/Services/SessionProxy/StreamConnection.h
+++ b/Services/SessionProxy/StreamConnection.h
@@ -54,6 +54,7 @@
     std::string output_;
     bool isWaitingToWrite_ = false;
     bool isConnecting_ = false;
+    bool isOutgoing_ = false;
     bool isFinishing_ = false;
     bool isClosed_ = false;
 };
--- a/Tests/Adapter/TestDocuments.cpp
+++ b/Tests/Adapter/TestDocuments.cpp
@@ -224,7 +224,7 @@
 
 TEST(Store, PromotionRequestsCarryHolderAndFencingToken)
 {
-    const auto request = makePromotion({1, Core::GroupName("s"), Core::DatabaseName("i-1"), 42},
+    const auto request = makePromotion({1, Core::GroupName("s"), Core::DatabaseName("i-1"), 42, {}},
                                        Core::NodeName("n"));
     STRCMP_EQUAL("/promotion", request.target.c_str());
     STRCMP_EQUAL("n", std::string(request.field("Duty-Holder")).c_str());
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -2,6 +2,7 @@
 
 #include <Fleet/FleetEngine.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -9,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Chervilpin::Fleet::Testing {
@@ -60,6 +62,18 @@
         list(proxy);
     }
 
+    /// The process of a proxy ends, and starts again at once.
+    void restart(const std::string &name)
+    {
+        std::erase_if(heldOrders_, [&](HeldOrder &held) {
+            const bool isSender = held.sender == proxies.at(name).engine.get();
+            if (isSender)
+                ordersOfEndedProcesses_.push_back(held.order);
+            return isSender;
+        });
+        start(name);
+    }
+
     static Sessions::DatabaseEntry entry(const char *id, Sessions::DatabaseRole role)
     {
         Sessions::DatabaseEntry result;
@@ -76,6 +90,7 @@
         while (now < end) {
             now = now + step;
             applyPromotion();
+            endHeldOrders();
             for (auto &[name, proxy] : proxies) {
                 if (paused.contains(name))
                     continue;
@@ -119,6 +134,13 @@
             proxy.engine->setSynchronousReplicas({{group, count}});
     }
 
+    void releaseAnswers()
+    {
+        withoutAnswers.clear();
+        for (const auto &answer : std::exchange(heldAnswers_, {}))
+            answer();
+    }
+
     /// Another database takes over without an order of the fleet.
     void supersede(Core::DatabaseName database)
     {
@@ -176,6 +198,12 @@
     /// Proxies whose lease to another database was still valid when an order was sent.
     std::vector<std::string> fencingViolations;
     bool areOrdersAnswered = true;
+    /// Orders are not answered, and are given up when they have to end.
+    bool areOrdersHeld = false;
+    /// Orders that were sent while an earlier one with another token could still arrive.
+    unsigned overtakingOrders = 0;
+    /// The store's answers to these proxies are held back until releaseAnswers().
+    std::set<std::string> withoutAnswers;
     bool configuresProxies = true; ///< Whether a proxy knows the configuration when it starts.
     /// Steps of time in which a proxy held a lease to a database that wasn't the primary.
     unsigned staleLeases = 0;
@@ -194,6 +222,12 @@
         std::uint64_t revision = 0;
     };
 
+    struct HeldOrder
+    {
+        FleetEngine *sender = nullptr;
+        OrderPromotion order;
+    };
+
     struct PendingPromotion
     {
         Core::DatabaseName database;
@@ -281,8 +315,15 @@
         object = {keyOf(write.record), encode(write.record), ++revision_, false};
         takeCopy();
         const bool isSameEra = write.expected == 0 || eraOf(write.expected) == era;
-        proxy.engine->writeEnded(write.id, isSameEra ? WriteOutcome::Done : WriteOutcome::Unknown,
-                                 isSameEra ? makeRevision(era, revision_) : 0, now);
+        const auto answer = [this, engine = proxy.engine.get(), id = write.id,
+                             outcome = isSameEra ? WriteOutcome::Done : WriteOutcome::Unknown,
+                             revision = isSameEra ? makeRevision(era, revision_) : 0] {
+            engine->writeEnded(id, outcome, revision, now);
+        };
+        if (withoutAnswers.contains(name))
+            heldAnswers_.emplace_back(answer);
+        else
+            answer();
     }
 
     void deleteRecord(const std::string &name, const DeleteRecord &record)
@@ -310,12 +351,20 @@
     void promote(Proxy &proxy, const OrderPromotion &order)
     {
         orders.push_back(order);
+        overtakingOrders += static_cast<unsigned>(std::ranges::count_if(
+            heldOrders_, [&](const auto &held) { return held.order.token != order.token; }));
+        overtakingOrders += static_cast<unsigned>(std::ranges::count_if(
+            ordersOfEndedProcesses_, [&](const auto &ended) { return now < ended.endsBy; }));
         for (const auto &[database, names] : leaseHolders()) {
             for (const auto &name : names) {
                 if (database != order.database.value())
                     fencingViolations.push_back(name);
             }
         }
+        if (areOrdersHeld) {
+            heldOrders_.push_back({proxy.engine.get(), order});
+            return;
+        }
         if (!areOrdersAnswered) {
             proxy.engine->orderEnded(order.id, OrderOutcome::Unknown, now);
             return;
@@ -327,6 +376,19 @@
         proxy.engine->orderEnded(order.id, OrderOutcome::Accepted, now);
     }
 
+    void endHeldOrders()
+    {
+        for (std::size_t i = 0; i < heldOrders_.size();) {
+            const HeldOrder held = heldOrders_[i];
+            if (now < held.order.endsBy) {
+                ++i;
+                continue;
+            }
+            heldOrders_.erase(heldOrders_.begin() + static_cast<std::ptrdiff_t>(i));
+            held.sender->orderEnded(held.order.id, OrderOutcome::Unknown, now);
+        }
+    }
+
     void applyPromotion()
     {
         if (!promotion_ || now < promotion_->at)
@@ -378,6 +440,9 @@
     std::uint64_t revision_ = 0;
     std::vector<Copy> copies_;
     std::optional<PendingPromotion> promotion_;
+    std::vector<HeldOrder> heldOrders_;
+    std::vector<OrderPromotion> ordersOfEndedProcesses_;
+    std::vector<std::function<void()>> heldAnswers_;
     std::uint64_t term_ = 1;
 };
 
--- a/Tests/Fleet/TestFleetEngine.cpp
+++ b/Tests/Fleet/TestFleetEngine.cpp
@@ -746,6 +746,106 @@
     LONGS_EQUAL(1, restarted.orders.size());
 }
 
+/// An order that was held up on its way reached the platform after a later one with a higher token
+/// (docs/incidents/2026-12-05-late-order.md).
+TEST(FleetEngine, AnOrderWaitsUntilTheOneBeforeHasEnded)
+{
+    fleet.areOrdersHeld = true;
+    failPrimary();
+    fleet.advanceTime(20_s);
+    CHECK(fleet.orders.size() >= 5);
+    LONGS_EQUAL(0, fleet.overtakingOrders);
+}
+
+/// As above, where the second order is of another group.
+TEST(FleetEngine, OrdersOfTwoGroupsDoNotOvertakeEachOther)
+{
+    const Core::GroupName second("h");
+    auto directory = fleet.directory;
+    for (auto entry : fleet.directory) {
+        entry.id = Core::DatabaseName("h-" + entry.id.value());
+        entry.group = second;
+        directory.push_back(entry);
+    }
+    fleet.changeDirectory(directory);
+    fleet.advanceTime(3_s);
+    fleet.areOrdersHeld = true;
+    failPrimary();
+    fleet.advanceTime(600_ms);
+    LONGS_EQUAL(1, fleet.orders.size());
+    fleet.silentDatabases.insert("h-db-1");
+    for (auto &[name, proxy] : fleet.proxies)
+        proxy.engine->primaryHealth(second, Health::Suspect, {1, 10}, fleet.now);
+    fleet.advanceTime(20_s);
+    const auto isOfSecond = [&](const auto &order) {
+        return order.group == second;
+    };
+    CHECK(std::ranges::any_of(fleet.orders, isOfSecond));
+    LONGS_EQUAL(0, fleet.overtakingOrders);
+}
+
+/// As above, where the leader that sent the first order is gone.
+TEST(FleetEngine, ANewLeaderWaitsForTheOrdersOfTheOneBefore)
+{
+    for (const bool isRestarted : {false, true}) {
+        FleetFixture other{3};
+        other.areOrdersHeld = true;
+        other.silentDatabases.insert("db-1");
+        other.report(Health::Suspect);
+        other.advanceUntil([&] { return !other.orders.empty(); }, 5_s);
+        const std::string first = other.leader();
+        other.paused.insert(first);
+        if (isRestarted) {
+            other.paused.clear();
+            other.restart(first);
+        }
+        other.advanceTime(20_s);
+        CHECK(other.orders.size() >= 2);
+        LONGS_EQUAL(0, other.overtakingOrders);
+    }
+}
+
+/// As above, where the leader leaves while its order is on its way.
+TEST(FleetEngine, ALeaderThatLeavesDuringAnOrderKeepsItsRecord)
+{
+    fleet.areOrdersHeld = true;
+    failPrimary();
+    fleet.advanceUntil([&] { return !fleet.orders.empty(); }, 5_s);
+    fleet.proxies.at(fleet.leader()).engine->leave(fleet.now);
+    fleet.advanceTime(20_s);
+    CHECK(fleet.orders.size() >= 2);
+    LONGS_EQUAL(0, fleet.overtakingOrders);
+}
+
+/// As above, where the order had not been sent yet: the leader was suspended while it waited for
+/// its token.
+TEST(FleetEngine, ATokenThatWasAnsweredLateIsNotUsed)
+{
+    const std::string first = fleet.leader();
+    fleet.proxies.at(first).holdsOldPrimary = true;
+    failPrimary();
+    fleet.advanceTime(500_ms);
+    LONGS_EQUAL(0, fleet.orders.size());
+    fleet.withoutAnswers.insert(first);
+    auto &held = fleet.proxies.at(first);
+    held.holdsOldPrimary = false;
+    held.engine->primaryReleased(FleetFixture::group, held.lease->revision, fleet.now);
+    fleet.advanceTime(300_ms);
+    fleet.releaseAnswers();
+    fleet.withoutAnswers.insert(first);
+    fleet.advanceTime(300_ms);
+    fleet.paused.insert(first);
+    fleet.advanceTime(30_s);
+    CHECK(!fleet.orders.empty());
+    const auto count = fleet.orders.size();
+    const auto newest = fleet.orders.back().token;
+    fleet.releaseAnswers();
+    fleet.paused.clear();
+    fleet.advanceTime(10_ms);
+    for (std::size_t i = count; i < fleet.orders.size(); ++i)
+        CHECK(fleet.orders[i].token >= newest);
+}
+
 TEST(FleetEngine, ALeaderWithAnOutdatedRecordDoesNotWriteWithoutDelay)
 {
     const std::string leader = fleet.leader();
