One entry of the directory that can't be read no longer hides the others

Cause: a page of the store was parsed as a whole, strictly and 32 levels deep, so that one odd entry made it unreadable; that counted as a failure of the store, and the page was asked for again and again.

The check that a relayed text that can't be read is an error stays for all kinds but the directory, where it is replaced by one that such an object has no content.

--- a/Services/SessionProxy/StoreLink.cpp
+++ b/Services/SessionProxy/StoreLink.cpp
@@ -221,7 +221,7 @@
                              "the feed's last confirmation by the store is too old");
     for (Fleet::RelayedObject relayed : answer.objects) {
         (void)TRY(resolveDelta(relayed));
-        update.objects.push_back(TRY(Adapter::fromRelayed(relayed)));
+        update.objects.push_back(TRY(Adapter::fromRelayed(kind_, relayed)));
     }
     return update;
 }
