Statements that wait behind others are started in a loop, and are bounded

Cause: a statement that the proxy answers by itself started the next one from within its answer, so that the stack grew with each. Their number had no bound.

Change: a loop. While 1,000 statements or 1 MiB of them wait, the caller is not read from; nothing is refused.

With the recursion back, AnyNumberOfStatementsMayBeSentWithoutWaiting ends with SIGSEGV (code 139). The bound, ACallerWithManyUnansweredStatementsIsNotReadFrom, is new; without it the test doesn't compile.

--- a/Libraries/Sessions/Session.h
+++ b/Libraries/Sessions/Session.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Chervilpin::Sessions {
@@ -79,12 +80,34 @@
     std::optional<Operation> running;
     std::optional<Statement> awaitingAdmission; ///< Waits for its team's rate limit.
     std::deque<Statement> pipelined; ///< Statements received while an earlier one was unanswered.
+    std::size_t pipelinedBytes = 0;  ///< The length of these statements.
+    bool isStartingNext = false;     ///< Whether statements are being taken from pipelined.
     Core::Instant lastActive;
     std::optional<Core::Instant> terminateAt; ///< When the session is closed even if it is busy.
     bool isCloseRequested = false;            ///< Whether EndSession was emitted.
     /// Whether the session is closed once nothing runs and no transaction is open.
     bool isDraining = false;
 
+    void pushPipelined(Statement statement)
+    {
+        pipelinedBytes += statement.arguments.size();
+        pipelined.push_back(std::move(statement));
+    }
+
+    [[nodiscard]] Statement popPipelined()
+    {
+        Statement next = std::move(pipelined.front());
+        pipelined.pop_front();
+        pipelinedBytes -= next.arguments.size();
+        return next;
+    }
+
+    void clearPipelined()
+    {
+        pipelined.clear();
+        pipelinedBytes = 0;
+    }
+
     /// Whether the caller is waiting for an answer.
     [[nodiscard]] bool isBusy() const { return running || awaitingAdmission; }
 };
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -67,6 +67,9 @@
     }
     /// Sets the data centres that are being evacuated.
     void evacuationsChanged(std::span<const Core::DataCentreName>, Core::Instant now);
+    /// Whether the caller has sent so many statements without waiting for answers that no more
+    /// should be read from it until some are answered.
+    [[nodiscard]] bool isSaturated(SessionId) const;
     /// Queries the status of a database as soon as a connection is available. Emits no ReportStatus
     /// if the database does not reply.
     void queryStatus(const Core::DatabaseName &, Core::Instant now);
--- a/Libraries/Sessions/SessionEngineCallers.cpp
+++ b/Libraries/Sessions/SessionEngineCallers.cpp
@@ -72,12 +72,22 @@
         return;
     session->lastActive = now;
     if (session->isBusy()) {
-        session->pipelined.push_back(std::move(statement));
+        session->pushPipelined(std::move(statement));
         return;
     }
     start(*session, std::move(statement), now);
 }
 
+bool SessionEngine::isSaturated(SessionId id) const
+{
+    const auto found = sessions_.find(id);
+    if (found == sessions_.end())
+        return false;
+    const Session &session = found->second;
+    return session.pipelined.size() >= maximumPipelinedStatements
+        || session.pipelinedBytes >= maximumPipelinedBytes;
+}
+
 void SessionEngine::start(Session &session, Statement statement, Core::Instant now)
 {
     if (session.transaction == TransactionStage::Failed) {
--- a/Libraries/Sessions/SessionEngineConnections.cpp
+++ b/Libraries/Sessions/SessionEngineConnections.cpp
@@ -200,7 +200,7 @@
     // The session is removed by sessionClosed(), once the caller's connection is closed.
     session.isDraining = true;
     session.isCloseRequested = true;
-    session.pipelined.clear();
+    session.clearPipelined();
     actions_.emplace_back(EndSession{session.id, failure, std::move(text)});
 }
 
--- a/Libraries/Sessions/SessionEngineReplies.cpp
+++ b/Libraries/Sessions/SessionEngineReplies.cpp
@@ -3,6 +3,7 @@
 #include <Sessions/Timing.h>
 
 #include <algorithm>
+#include <utility>
 
 /// Replies of databases and answers to callers.
 namespace Chervilpin::Sessions {
@@ -333,11 +334,14 @@
 
 void SessionEngine::startNext(Session &session, Core::Instant now)
 {
-    if (session.pipelined.empty() || session.isBusy())
+    // A statement that is answered at once leads back here. Starting the next one in a loop keeps
+    // the stack from growing with the number of statements that a caller has sent.
+    if (std::exchange(session.isStartingNext, true))
         return;
-    Statement next = std::move(session.pipelined.front());
-    session.pipelined.pop_front();
-    start(session, std::move(next), now);
+    while (!session.pipelined.empty() && !session.isBusy()) {
+        start(session, session.popPipelined(), now);
+    }
+    session.isStartingNext = false;
 }
 
 void SessionEngine::operationEnded(Session &session, Core::Instant)
--- a/Libraries/Sessions/Timing.h
+++ b/Libraries/Sessions/Timing.h
@@ -4,6 +4,7 @@
 #include <Sessions/RoutingTable.h>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace Chervilpin::Sessions {
 
@@ -54,6 +55,10 @@
 constexpr Core::Duration replacedPrimaryGracePeriod{250};
 /// Maximum number of attempts of a statement.
 constexpr unsigned maximumAttempts = 4;
+/// A caller isn't read from while this many of its statements wait for an earlier one, or if they
+/// are longer than this together. A message may be as long.
+constexpr std::size_t maximumPipelinedStatements = 1'000;
+constexpr std::size_t maximumPipelinedBytes = std::size_t{1'024} * 1'024;
 /// Interval at which a replica that seems to lag too far is probed with a read. A refusal takes no
 /// slot of the replica.
 constexpr Core::Duration lagProbeInterval{200};
--- a/Services/SessionProxy/Node.cpp
+++ b/Services/SessionProxy/Node.cpp
@@ -161,8 +161,13 @@
             [&](const Sessions::ReturnAdmission &unused) { rates_.refund(unused.team, now); },
             [&](const Sessions::AnswerSession &answer) {
                 const auto caller = callers_.find(answer.session);
-                if (caller != callers_.end())
-                    caller->second.connection->send(Adapter::encode(answer));
+                if (caller == callers_.end())
+                    return;
+                // A failure to send removes the caller from the map, so keep the connection alive.
+                const auto connection = caller->second.connection;
+                connection->send(Adapter::encode(answer));
+                if (!sessions_.isSaturated(answer.session))
+                    connection->resume();
             },
             [&](const Sessions::EndSession &end) {
                 forwardLinks_->endSession(end.session);
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -83,10 +83,13 @@
                                                now);
                    },
                    [&](Sessions::Statement &statement) {
-                       if (caller.isConnected)
-                           sessions_.statement(id, std::move(statement), now);
-                       else
+                       if (!caller.isConnected) {
                            refuse(Sessions::Failure::Malformed, "the session isn't open yet");
+                           return;
+                       }
+                       sessions_.statement(id, std::move(statement), now);
+                       if (sessions_.isSaturated(id))
+                           caller.connection->pause();
                    },
                    [&](const Adapter::ReleaseMessage &) {
                        const auto connection = caller.connection;
--- a/Services/SessionProxy/StreamConnection.cpp
+++ b/Services/SessionProxy/StreamConnection.cpp
@@ -1,6 +1,7 @@
 #include <Services/SessionProxy/StreamConnection.h>
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 namespace Chervilpin::SessionProxy {
@@ -62,8 +63,11 @@
 template<typename Buffer>
 void StreamConnection<Buffer>::waitForBytes()
 {
+    if (std::exchange(isWaitingToRead_, true))
+        return;
     socket_.async_wait(asio::socket_base::wait_read,
                        [self = this->shared_from_this()](error_code error) {
+                           self->isWaitingToRead_ = false;
                            if (error || self->isClosed_)
                                return;
                            self->readBytes();
@@ -80,8 +84,14 @@
         return;
     }
     buffer_.feed(std::span(readBuffer()).first(count));
+    readOn();
+}
+
+template<typename Buffer>
+void StreamConnection<Buffer>::readOn()
+{
     takeMessages();
-    if (isClosed_)
+    if (isClosed_ || isPaused_)
         return;
     if (buffer_.isOverlong())
         fail();
@@ -92,7 +102,7 @@
 template<typename Buffer>
 void StreamConnection<Buffer>::takeMessages()
 {
-    while (!isClosed_ && !isFinishing_) {
+    while (!isClosed_ && !isFinishing_ && !isPaused_) {
         const auto message = buffer_.next();
         if (!message)
             break;
@@ -114,6 +124,17 @@
         fail();
 }
 
+template<typename Buffer>
+void StreamConnection<Buffer>::resume()
+{
+    if (!std::exchange(isPaused_, false))
+        return;
+    asio::post(socket_.get_executor(), [self = this->shared_from_this()] {
+        if (!self->isClosed_ && !self->isPaused_)
+            self->readOn();
+    });
+}
+
 template<typename Buffer>
 void StreamConnection<Buffer>::flush()
 {
--- a/Services/SessionProxy/StreamConnection.h
+++ b/Services/SessionProxy/StreamConnection.h
@@ -35,6 +35,10 @@
     /// Connects, starts to read and calls \a opened; calls `closed` on failure.
     void connect(const boost::asio::ip::tcp::endpoint &, std::function<void()> opened);
     void send(std::string_view);
+    /// Stops reading until resume(): what the peer sends then waits on its side.
+    void pause() { isPaused_ = true; }
+    /// Goes on reading, from the context.
+    void resume();
     /// Closes once all pending output has been written, without calling `closed`.
     void finish();
     /// Closes at once with a TCP reset, which discards data in transit; doesn't call `closed`.
@@ -43,6 +47,7 @@
 private:
     void waitForBytes();
     void readBytes();
+    void readOn();
     void takeMessages();
     void flush();
     void fail();
@@ -52,11 +57,13 @@
     Handlers handlers_;
     Buffer buffer_;
     std::string output_;
+    bool isWaitingToRead_ = false;
     bool isWaitingToWrite_ = false;
     bool isConnecting_ = false;
     bool isOutgoing_ = false;
     bool isFinishing_ = false;
     bool isClosed_ = false;
+    bool isPaused_ = false;
 };
 
 /// To a caller or to a database.
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -302,6 +302,46 @@
     CHECK(onlyFailure() == Failure::Aborted);
 }
 
+/// A caller that sent 10,000 statements without waiting for an answer ended the process, since the
+/// stack grew with each that the proxy answers by itself (docs/incidents/2026-12-05-pipelining.md).
+TEST(SessionEngine, AnyNumberOfStatementsMayBeSentWithoutWaiting)
+{
+    constexpr std::size_t count = 300'000;
+    const auto session = fixture.open("latest");
+    fixture.send(session, StatementKind::Read, "1");
+    const auto reads = fixture.sent();
+    for (std::size_t i = 0; i < count; ++i)
+        fixture.send(session, StatementKind::SetValue, "v", "name");
+    fixture.send(session, StatementKind::Read, "2");
+    fixture.replySuccess(reads.back().connection, {1, 1});
+    const auto actions = fixture.takeActions();
+    LONGS_EQUAL(count + 1, EngineFixture::actionsOf<AnswerSession>(actions).size());
+    // The value is set on the connection first.
+    const auto setup = EngineFixture::actionsOf<SendStatement>(actions);
+    CHECK(setup.back().statement.kind == StatementKind::SetValue);
+    fixture.replySuccess(setup.back().connection, {1, 1});
+    STRCMP_EQUAL("2", fixture.sent().back().statement.arguments.c_str());
+}
+
+/// As above: a caller can't fill the memory of the process either.
+TEST(SessionEngine, ACallerWithManyUnansweredStatementsIsNotReadFrom)
+{
+    const auto session = fixture.open("latest");
+    fixture.send(session, StatementKind::Read, "1");
+    const auto reads = fixture.sent();
+    for (unsigned i = 0; i < maximumPipelinedStatements; ++i) {
+        CHECK(!fixture.engine.isSaturated(session));
+        fixture.send(session, StatementKind::SetValue, "v", "name");
+    }
+    CHECK(fixture.engine.isSaturated(session));
+    fixture.replySuccess(reads.back().connection, {1, 1});
+    CHECK(!fixture.engine.isSaturated(session));
+
+    fixture.send(session, StatementKind::Read, "1");
+    fixture.send(session, StatementKind::Write, std::string(maximumPipelinedBytes, 'x'));
+    CHECK(fixture.engine.isSaturated(session));
+}
+
 TEST(SessionEngine, AWithdrawnKeyEndsOpenSessions)
 {
     const auto idle = fixture.open("own");
