A key that was given back ends its withdrawal

Callers saw: AUTHFAIL and lost transactions up to 1.5 s after a version that holds their key was in force.

Cause: a version without the key set the time at which a busy session ends, and no later version took it back.

Change: a version that holds the key again does. A key that stays withdrawn keeps its first deadline.

Evidence: with the guard off, AKeyThatWasGivenBackIsNotRefused fails, and so does AKeyThatStaysWithdrawnEndsItsSessionsInTime, which guards the other side.

--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -23,12 +23,17 @@
         groups_[name].name = name;
     for (auto &[id, session] : sessions_) {
         // The proxy that has the caller decides whether a forwarded session continues.
-        if (session.isDraining || session.forwarded)
+        const bool isWithdrawn = session.terminateAt.has_value();
+        if (session.forwarded || (session.isDraining && !isWithdrawn))
             continue;
         const auto route = table_->findRoute(session.databaseName);
         const auto *team = table_->findTeam(session.key);
         const bool isServed = route && (route->isOpenToAll || (team && *team == session.team));
-        if (isServed)
+        if (isServed && isWithdrawn) {
+            session.terminateAt.reset();
+            session.isDraining = isStopping_;
+        }
+        if (isServed || isWithdrawn)
             continue;
         if (!session.isBusy() && session.transaction == TransactionStage::None) {
             closeSession(session, {}, {});
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -363,6 +363,42 @@
     LONGS_EQUAL(busy, ends.front().session);
 }
 
+/// A key that was withdrawn and soon given back was refused after that, and open transactions were
+/// lost (docs/incidents/2026-12-05-returned-key.md).
+TEST(SessionEngine, AKeyThatWasGivenBackIsNotRefused)
+{
+    const auto session = fixture.open("own");
+    const auto connection = fixture.openTransaction(session);
+    auto withdrawn = EngineFixture::table(2);
+    withdrawn->keys.clear();
+    fixture.engine.configure(withdrawn, fixture.now);
+    fixture.advance(Core::Duration(330));
+    fixture.engine.configure(EngineFixture::table(3), fixture.now);
+    fixture.advance(withdrawnKeyGracePeriod);
+    LONGS_EQUAL(0, EngineFixture::actionsOf<EndSession>(fixture.takeActions()).size());
+    fixture.send(session, StatementKind::Commit);
+    fixture.replySuccess(connection, {1, 2});
+    const auto actions = fixture.takeActions();
+    CHECK(!EngineFixture::actionsOf<AnswerSession>(actions).back().failure);
+    LONGS_EQUAL(0, EngineFixture::actionsOf<EndSession>(actions).size());
+}
+
+/// As above: versions that don't hold the key either don't postpone the end.
+TEST(SessionEngine, AKeyThatStaysWithdrawnEndsItsSessionsInTime)
+{
+    const auto session = fixture.open("own");
+    (void)fixture.openTransaction(session);
+    for (const std::uint64_t version : {2U, 3U}) {
+        auto withdrawn = EngineFixture::table(version);
+        withdrawn->keys.clear();
+        fixture.engine.configure(withdrawn, fixture.now);
+        fixture.advance(withdrawnKeyGracePeriod / 2);
+    }
+    const auto ends = EngineFixture::actionsOf<EndSession>(fixture.takeActions());
+    LONGS_EQUAL(1, ends.size());
+    CHECK(ends.front().failure == Failure::AuthenticationFailed);
+}
+
 TEST(SessionEngine, ASessionReadsItsOwnWrites)
 {
     fixture.showPrimaryMark({1, 5});
