A proxy is ready only when it knows the directory

Callers saw: proxies that reported that they were ready, and refused every statement.

Cause: readiness asked for the configuration only.

Change: the directory has to have been listed once.

Evidence: AProxyWithoutTheDirectoryIsNotReady fails without it.

--- a/Libraries/Sessions/SessionEngine.cpp
+++ b/Libraries/Sessions/SessionEngine.cpp
@@ -51,6 +51,7 @@
 
 void SessionEngine::directoryChanged(std::span<const DatabaseEntry> entries, Core::Instant now)
 {
+    isDirectoryKnown_ = true;
     for (auto &[name, database] : databases_)
         database.isDelisted = true;
     std::vector<ConnectionId> restarted;
--- a/Libraries/Sessions/SessionEngine.h
+++ b/Libraries/Sessions/SessionEngine.h
@@ -76,6 +76,8 @@
     /// Closes each session once it is idle. Open transactions are aborted at \a transactionsUntil.
     void shutDown(Core::Instant transactionsUntil, Core::Instant now);
     [[nodiscard]] bool isConfigured() const { return table_->version != 0; }
+    /// Whether statements can be served: the configuration and the directory are known.
+    [[nodiscard]] bool isReady() const { return isConfigured() && isDirectoryKnown_; }
 
     // Callers.
     void sessionOpened(SessionId, std::string_view databaseName, std::string_view key,
@@ -303,6 +305,7 @@
     Core::Instant reviewAt_;
     bool isReviewScheduled_ = false;
     bool isStopping_ = false;
+    bool isDirectoryKnown_ = false; ///< Whether the directory was listed at least once.
     Core::Instant transactionDeadline_;
 };
 
--- a/Services/SessionProxy/NodeSockets.cpp
+++ b/Services/SessionProxy/NodeSockets.cpp
@@ -463,7 +463,7 @@
     constexpr unsigned notReady = 503;
     constexpr unsigned notFound = 404;
     Http::Response response;
-    const bool isReady = !shutdownSequence_ && sessions_.isConfigured();
+    const bool isReady = !shutdownSequence_ && sessions_.isReady();
     response.status = isReady ? ready : notReady;
     if (request.target != Adapter::readinessPath())
         response.status = notFound;
--- a/Tests/Sessions/TestSessionEngine.cpp
+++ b/Tests/Sessions/TestSessionEngine.cpp
@@ -363,6 +363,18 @@
     LONGS_EQUAL(busy, ends.front().session);
 }
 
+/// After a restart during which the directory could not be read, the fleet reported that it was
+/// ready, and served nothing (docs/incidents/2026-12-05-odd-entry.md).
+TEST(SessionEngine, AProxyWithoutTheDirectoryIsNotReady)
+{
+    SessionEngine started(Core::NodeName("self"), EngineFixture::dataCentre, fixture.now);
+    CHECK(!started.isReady());
+    started.configure(EngineFixture::table(1), fixture.now);
+    CHECK(!started.isReady());
+    started.directoryChanged(EngineFixture::entries(), fixture.now);
+    CHECK(started.isReady());
+}
+
 /// A key that was withdrawn and soon given back was refused after that, and open transactions were
 /// lost (docs/incidents/2026-12-05-returned-key.md).
 TEST(SessionEngine, AKeyThatWasGivenBackIsNotRefused)
