--- a/Libraries/Fleet/PromotionPlan.h
+++ b/Libraries/Fleet/PromotionPlan.h
@@ -64,9 +64,8 @@
 /// 3. The record names the candidate with the longest log, which is then ordered to take over.
 ///    Another candidate is chosen only if the order was answered with NotRunning. If the group has
 ///    synchronous replicas, the log has to be known to have every acknowledged commit.
-/// 4. Once the candidate reports that it leads a new term, the record names it as Active. A
-/// database
-///    that reports the role alone may lead a superseded term that it has not stepped down from.
+/// 4. Once the candidate reports that it leads a new term, the record names it as Active. The role
+///    alone proves nothing: a superseded primary keeps it until it steps down.
 ///
 /// If the old primary answers before an order was sent, the record names it as Active again. After
 /// a partition it is given time for that: the proxies on its side may have gone on writing to it.
