--- a/Tests/Adapter/TestDocuments.cpp
+++ b/Tests/Adapter/TestDocuments.cpp
@@ -35,7 +35,8 @@
 std::vector<std::string> oddContents()
 {
     constexpr std::size_t deep = 1'000'000;
-    return {
+    constexpr std::size_t aroundTheLimit = 40;
+    std::vector<std::string> contents{
         R"("\udcff\udcfe\udc80")",
         "\"\xff\xfe\x80\"",
         "\"\x01\x02\"",
@@ -48,6 +49,9 @@
         R"({"slots":1e400})",
         "\"" + std::string(100'000, 'x') + "\"",
     };
+    for (std::size_t depth = 1; depth <= aroundTheLimit; ++depth)
+        contents.push_back(std::string(depth, '[') + std::string(depth, ']'));
+    return contents;
 }
 
 Core::ErrorOr<Http::Response> response(unsigned status, std::string body)
